--- /dev/null
+++ b/src/main/java/fawndock/Logic.java
@@ -0,0 +1,923 @@
+package fawndock;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * The decisions of one gatekeeper; the types it takes and gives are all in Gatekeeper.java.
+ * A request is first weighed against its customer's pair of counts (quota), then waits for room on a server
+ * (server choice, health), is sent (attempts) and is answered before its client gives up (deadlines).
+ */
+public final class Logic implements Gatekeeper {
+    /** Names are kept 60 s at most, and a name must outlive two windows. */
+    private static final long LONGEST_WINDOW = 30_000_000;
+    /** A gauge's epoch, in longest deadlines: few requests straddle two epochs, yet leaks lapse soon. */
+    private static final int EPOCH_DEADLINES = 6;
+    /** A counter call is waited for this many usual call times: far out in its tail. */
+    private static final double PATIENCE = 6;
+    /** ... but never for more than this share of the aim, so that the wait alone costs no answer. */
+    private static final double WAIT_OF_AIM = 0.1;
+    /** Silences in a row after which the counter is not waited for: one loss is chance, four are an outage. */
+    private static final int SILENCES = 4;
+    /** Weight of a new sample in the slow averages; about the last 20 samples count. */
+    private static final double SLOW_GAIN = 0.05;
+    /** Weight of a new sample in a server's latency; servers see few requests, so the last 5 count. */
+    private static final double FAST_GAIN = 0.2;
+    /** Mean latency as a share of the aim that a server is kept below: the tail takes the rest. */
+    private static final double LATENCY_TARGET = 0.33;
+    /** Attempts out at one server to begin with; the latency seen moves it within some round trips. */
+    private static final double FIRST_LIMIT = 6;
+    /** A server's limit never falls below one attempt, or nothing would be learned of it. */
+    private static final double LEAST_LIMIT = 1;
+    /** Share by which a limit is cut for a round of late answers. */
+    private static final double CUT = 0.1;
+    /** Failures in a row that take a server out. */
+    private static final int FAILURES = 3;
+    /** First time out for an ejected server; it doubles each time up to the longest. */
+    private static final long FIRST_EJECTION = 1_000_000;
+    private static final long LONGEST_EJECTION = 16_000_000;
+    /** At most this share of the servers is held ejected: when more fail, the cause is not theirs. */
+    private static final double MOST_EJECTED = 0.5;
+    /** A load report older than this says nothing. */
+    private static final long REPORT_AGE = 2_000_000;
+    /** Latency knowledge of a server that is not used fades with this time, so that it is tried again. */
+    private static final double FADE = 8_000_000;
+    /** Time constant of the send rate that a cold server's part is taken of. */
+    private static final double RATE_TIME = 3_000_000;
+    /** An attempt is looked at again after this share of the aim: a second one still fits. */
+    private static final double CHECK_OF_AIM = 0.4;
+    /** ... and is given up if its server looks this many times slower than the fleet. */
+    private static final double SLOW_SERVER = 2.5;
+    /** Further attempts of work that may have run, per first attempt: bounds the load that retries add. */
+    private static final double RETRY_SHARE = 0.1;
+    private static final double RETRY_STORE = 10;
+    /** Rounds before the client gives up in which its answer must be on its way. */
+    private static final int MARGIN_ROUNDS = 2;
+
+    private enum Kind { RATE, OPEN, CEILING }
+
+    /** One named count as this gatekeeper knows it. */
+    private static final class Tally {
+        final String name;
+        final long number;
+        double total;
+        double own;
+        double owed;
+        boolean closedRead;
+        boolean restoring;
+        Call reading;
+
+        Tally(String name, long number) {
+            this.name = name;
+            this.number = number;
+        }
+    }
+
+    /** The pair of counts of one customer for one purpose. */
+    private static final class Pair {
+        final String prefix;
+        final long window;
+        final double limit;
+        Tally current;
+        Tally previous;
+
+        Pair(String prefix, long window, double limit) {
+            this.prefix = prefix;
+            this.window = window;
+            this.limit = limit;
+        }
+
+        void roll(long now) {
+            long number = now / window;
+            if (current != null && current.number == number) {
+                return;
+            }
+            previous = current != null && current.number == number - 1 ? current : tally(number - 1);
+            current = tally(number);
+        }
+
+        private Tally tally(long number) {
+            return new Tally(prefix + Long.toString(number, Character.MAX_RADIX), number);
+        }
+    }
+
+    /** A call to the counter that is out. */
+    private static final class Call {
+        final Pair pair;
+        final Tally tally;
+        final Kind kind;
+        final double amount;
+        final boolean restores;
+        final List<Held> waiters = new ArrayList<>(1);
+
+        Call(Pair pair, Tally tally, Kind kind, double amount, boolean restores) {
+            this.pair = pair;
+            this.tally = tally;
+            this.kind = kind;
+            this.amount = amount;
+            this.restores = restores;
+        }
+    }
+
+    /** What was added for a request to one count, and the total found before it. */
+    private static final class Share {
+        final Pair pair;
+        final Tally tally;
+        final double units;
+        double before = Double.NaN;
+        boolean counted;
+
+        Share(Pair pair, Tally tally, double units) {
+            this.pair = pair;
+            this.tally = tally;
+            this.units = units;
+        }
+    }
+
+    /** A request that this gatekeeper holds. */
+    private static final class Held {
+        final Request request;
+        final ClassState type;
+        final Plan plan;
+        final long arrived;
+        final long aimAt;
+        final Map<Kind, Share> shares = new TreeMap<>();
+        final List<Try> tries = new ArrayList<>(1);
+        int waiting;
+        int out;
+        boolean decided;
+        boolean done;
+        boolean settled;
+        boolean streaming;
+        double rank;
+        double weight;
+        long sequence;
+        long startBy;
+
+        Held(Request request, ClassState type, Plan plan, long now) {
+            this.request = request;
+            this.type = type;
+            this.plan = plan;
+            this.arrived = now;
+            this.aimAt = Math.min(now + type.info.aimMicros(), request.giveUpAtMicros());
+        }
+    }
+
+    /** One attempt of a request. */
+    private static final class Try {
+        final ServerState server;
+        final long sentAt;
+        Result result;
+
+        Try(ServerState server, long sentAt) {
+            this.server = server;
+            this.sentAt = sentAt;
+        }
+
+        boolean mayHaveRun() {
+            return result == null || result.mayHaveRun;
+        }
+    }
+
+    /** What has been learned of a class. */
+    private static final class ClassState {
+        final RequestClass info;
+        double latency;
+        double units = 1;
+
+        ClassState(RequestClass info) {
+            this.info = info;
+            this.latency = info.aimMicros() * LATENCY_TARGET / 2;
+        }
+    }
+
+    /** What has been learned of a server. */
+    private static final class ServerState {
+        Server info;
+        double limit = FIRST_LIMIT;
+        double latency = Double.NaN;
+        double out;
+        double reported;
+        long reportedAt = Long.MIN_VALUE / 2;
+        long heardAt;
+        int failures;
+        int ejections;
+        long ejectedUntil;
+        long coldNext;
+        final TreeMap<Long, Integer> sentAt = new TreeMap<>();
+    }
+
+    private final Settings settings;
+    private final SplittableRandom random;
+    private final Map<String, ClassState> classes = new LinkedHashMap<>();
+    private final Map<String, Plan> plans = new LinkedHashMap<>();
+    private final TreeMap<String, ServerState> servers = new TreeMap<>();
+    private final Map<String, Pair> pairs = new LinkedHashMap<>();
+    private final Map<String, ArrayDeque<Call>> calls = new LinkedHashMap<>();
+    private final Map<Long, Held> held = new LinkedHashMap<>();
+    private final TreeSet<Held> queue = new TreeSet<>((a, b) -> a.rank != b.rank
+            ? Double.compare(b.rank, a.rank) : Long.compare(a.sequence, b.sequence));
+    private final long longestDeadline;
+    private List<Action> actions = new ArrayList<>();
+    private long now;
+    private long sequence;
+    private int silences;
+    private double callTime;
+    private double retries = RETRY_STORE;
+    private double fleetLatency = LATENCY_TARGET / 2;
+    private double warmSent;
+    private double warmRate;
+    private long warmAt;
+
+    /** Makes the decisions of one gatekeeper. */
+    public Logic(Settings settings) {
+        this.settings = settings;
+        this.random = new SplittableRandom(settings.seed());
+        settings.classes().forEach(c -> classes.put(c.name(), new ClassState(c)));
+        settings.plans().forEach(p -> plans.put(p.name(), p));
+        longestDeadline = settings.classes().stream().mapToLong(RequestClass::deadlineMicros).max().orElse(1_000_000);
+        callTime = settings.counter().waitMicros() / PATIENCE;
+    }
+
+    @Override
+    public List<Action> on(long nowMicros, Event event) {
+        now = nowMicros;
+        actions = new ArrayList<>();
+        if (event instanceof Request e) {
+            request(e);
+        } else if (event instanceof Counted e) {
+            counted(e);
+        } else if (event instanceof Outcome e) {
+            outcome(e);
+        } else if (event instanceof Wake e) {
+            wake(e.token());
+        } else if (event instanceof Servers e) {
+            list(e);
+        } else if (event instanceof Gone e) {
+            gone(e);
+        } else if (event instanceof Started e && held.containsKey(e.requestId())) {
+            Held q = held.get(e.requestId());
+            q.streaming = true;
+            queue.remove(q);
+        } else if (event instanceof Probed e) {
+            report(servers.get(e.server()), e.load());
+        }
+        pump();
+        return actions;
+    }
+
+    // ---- quota ----
+
+    private void request(Request r) {
+        if (held.containsKey(r.id())) {
+            return;
+        }
+        ClassState type = classes.computeIfAbsent(r.requestClass(), name -> new ClassState(new RequestClass(name,
+                r.giveUpAtMicros() - now, 0, longestDeadline, 1, 0, Repeat.AT_MOST_ONCE, Group.CELL, 0, false)));
+        Plan plan = plans.computeIfAbsent(r.plan(), name -> new Plan(name, 0, 0, 0, 1, 0, 0, 0, 0, 0));
+        Held q = new Held(r, type, plan, now);
+        held.put(r.id(), q);
+        wakeAt(Math.max(now, r.giveUpAtMicros() - MARGIN_ROUNDS * settings.roundMicros()), "end:", q);
+        ask(q);
+    }
+
+    /** Adds the request to its customer's counts and reads the windows before, each of these once. */
+    private void ask(Held q) {
+        if (settings.counter().present()) {
+            for (Kind kind : Kind.values()) {
+                Pair pair = pair(q, kind);
+                if (pair != null) {
+                    double units = kind == Kind.OPEN ? 1 : q.request.units();
+                    q.shares.put(kind, new Share(pair, pair.current, units));
+                    await(q, call(pair, pair.current, kind, units, false));
+                    readPrevious(q, pair, kind);
+                }
+            }
+        }
+        if (q.waiting == 0 || silences >= SILENCES) {
+            admit(q);
+        } else {
+            wakeAt(now + counterPatience(q), "ask:", q);
+        }
+    }
+
+    private void readPrevious(Held q, Pair pair, Kind kind) {
+        Tally previous = pair.previous;
+        if (!previous.closedRead) {
+            if (previous.reading == null) {
+                previous.reading = call(pair, previous, kind, 0, false);
+            }
+            await(q, previous.reading);
+        }
+    }
+
+    private void await(Held q, Call call) {
+        call.waiters.add(q);
+        q.waiting++;
+    }
+
+    private long counterPatience(Held q) {
+        long most = Math.min(settings.counter().waitMicros(), (long) (WAIT_OF_AIM * q.type.info.aimMicros()));
+        return Math.min(most, (long) (PATIENCE * callTime) + settings.roundMicros());
+    }
+
+    /** The pair of counts that holds this customer's quota of the kind, or null where its plan has none. */
+    private Pair pair(Held q, Kind kind) {
+        Plan plan = q.plan;
+        boolean none = switch (kind) {
+            case RATE -> plan.rate() <= 0;
+            case OPEN -> plan.concurrency() <= 0;
+            case CEILING -> plan.ceilingRate() <= 0;
+        };
+        if (none) {
+            return null;
+        }
+        String prefix = "roc".charAt(kind.ordinal()) + q.request.customer() + ".";
+        Pair pair = pairs.computeIfAbsent(prefix, p -> switch (kind) {
+            case RATE -> pair(p, plan.storeSize(), plan.rate());
+            case CEILING -> pair(p, plan.ceilingBurst(), plan.ceilingRate());
+            case OPEN -> new Pair(p, Math.min(LONGEST_WINDOW, EPOCH_DEADLINES * longestDeadline),
+                    plan.concurrency());
+        });
+        pair.roll(now);
+        return pair;
+    }
+
+    private static Pair pair(String prefix, double store, double rate) {
+        double seconds = Math.min(LONGEST_WINDOW / 1e6, store > 0 ? store / rate : 1);
+        return new Pair(prefix, Math.max(1, (long) (seconds * 1e6)), rate * seconds);
+    }
+
+    private Call call(Pair pair, Tally tally, Kind kind, double amount, boolean restores) {
+        Call call = new Call(pair, tally, kind, amount + tally.owed, restores);
+        tally.owed = 0;
+        calls.computeIfAbsent(tally.name, n -> new ArrayDeque<>(2)).add(call);
+        actions.add(new Count(tally.name, call.amount, 2 * pair.window));
+        return call;
+    }
+
+    private void counted(Counted e) {
+        ArrayDeque<Call> line = calls.get(e.name());
+        Call call = line == null ? null : line.poll();
+        if (call == null) {
+            return;
+        }
+        if (line.isEmpty()) {
+            calls.remove(e.name());
+        }
+        Tally tally = call.tally;
+        boolean reading = tally.reading == call;
+        if (reading) {
+            tally.reading = null;
+        }
+        if (e.result() == Result.OK) {
+            silences = 0;
+            callTime += SLOW_GAIN * (e.tookMicros() - callTime);
+            tally.closedRead |= reading;
+            learn(call, e.total());
+        } else {
+            silences++;
+            // An add that surely failed is carried to the next call; one that may have been added is not.
+            if (!e.result().mayHaveRun) {
+                tally.owed += call.amount;
+            }
+            tally.restoring &= !call.restores;
+        }
+        for (Held q : call.waiters) {
+            Share share = q.shares.get(call.kind);
+            if (e.result() == Result.OK && share.tally == tally && Double.isNaN(share.before)) {
+                share.before = tally.total - call.amount;
+                share.counted = true;
+            }
+            answered(q);
+        }
+    }
+
+    /** Takes in a total, and puts this gatekeeper's own part back when the counter has lost it. */
+    private void learn(Call call, double total) {
+        Tally tally = call.tally;
+        tally.total = total;
+        if (call.restores) {
+            tally.restoring = false;
+            return;
+        }
+        tally.own += call.amount;
+        // Guards against a flush, an emptied or a moved counter: a count below what this gatekeeper alone has
+        // added is lost. It may hurt when a peer withdraws more than it added, which no peer does.
+        double lost = tally.own - total;
+        if (lost > 0.5 && !tally.restoring) {
+            tally.restoring = true;
+            call(call.pair, tally, call.kind, lost, true);
+        }
+        tally.total = Math.max(total, tally.own);
+    }
+
+    private void answered(Held q) {
+        q.waiting--;
+        if (q.waiting == 0 && !q.decided) {
+            decide(q);
+        } else if (q.done && q.out == 0) {
+            release(q);
+        }
+    }
+
+    private void decide(Held q) {
+        Kind over = null;
+        for (Map.Entry<Kind, Share> each : q.shares.entrySet()) {
+            if (over(each.getKey(), each.getValue())) {
+                over = each.getKey();
+            }
+        }
+        if (over == null) {
+            admit(q);
+            return;
+        }
+        q.decided = true;
+        Pair pair = q.shares.get(over).pair;
+        long left = over == Kind.OPEN ? (long) q.type.latency : pair.window - now % pair.window;
+        refuse(q, left);
+    }
+
+    private boolean over(Kind kind, Share share) {
+        if (Double.isNaN(share.before)) {
+            return false;
+        }
+        Pair pair = share.pair;
+        double previous = share.tally == pair.current ? pair.previous.total : pair.current.total;
+        return switch (kind) {
+            case RATE -> estimate(previous, share.before, now % pair.window, pair.window) >= pair.limit;
+            case OPEN -> Math.max(0, previous) + Math.max(0, share.before) >= pair.limit;
+            case CEILING -> previous + share.before + share.units > pair.limit;
+        };
+    }
+
+    /** The weighted estimate of a customer's use in the window that ends now. */
+    static double estimate(double previous, double current, long elapsed, long window) {
+        return Math.max(0, previous) * (window - elapsed) / window + current;
+    }
+
+    /** Takes back all that was added for a request that was not sent on, or its open attempt once that ended. */
+    private void release(Held q) {
+        q.shares.forEach((kind, share) -> {
+            if (kind == Kind.OPEN || q.tries.isEmpty()) {
+                giveBack(kind, share);
+            }
+        });
+    }
+
+    private void giveBack(Kind kind, Share share) {
+        if (share.counted && now < (share.tally.number + 2) * share.pair.window) {
+            share.counted = false;
+            call(share.pair, share.tally, kind, -share.units, false);
+        }
+    }
+
+    private void settle(Held q, double units) {
+        Share share = q.shares.get(Kind.RATE);
+        if (settings.counter().settled() && units > 0 && !q.settled && share != null && share.counted) {
+            q.settled = true;
+            double difference = units - q.request.units();
+            if (difference != 0 && now < (share.tally.number + 2) * share.pair.window) {
+                call(share.pair, share.tally, Kind.RATE, difference, false);
+            }
+        }
+    }
+
+    // ---- server choice ----
+
+    private void admit(Held q) {
+        q.decided = true;
+        q.sequence = sequence++;
+        ClassState type = q.type;
+        double units = q.request.units();
+        type.units += SLOW_GAIN * (units - type.units);
+        q.weight = Math.max(0.1, units / type.units);
+        q.rank = type.info.worth() / type.latency;
+        enqueue(q);
+    }
+
+    private void enqueue(Held q) {
+        long room = q.aimAt - q.arrived;
+        q.startBy = q.arrived + Math.max(room / 5, room - (long) q.type.latency);
+        if (now > q.startBy) {
+            refuse(q, (long) q.type.latency);
+            return;
+        }
+        queue.add(q);
+        if (q.startBy > now) {
+            wakeAt(q.startBy, "hold:", q);
+        }
+    }
+
+    private void pump() {
+        while (!queue.isEmpty()) {
+            Held sent = null;
+            for (Held q : queue) {
+                ServerState server = choose(q);
+                if (server != null) {
+                    queue.remove(q);
+                    send(q, server);
+                    sent = q;
+                    break;
+                }
+                if (q.tries.isEmpty()) {
+                    break;
+                }
+            }
+            if (sent == null) {
+                return;
+            }
+        }
+    }
+
+    /** The least loaded server that may take this request now, or null. */
+    private ServerState choose(Held q) {
+        ServerState best = null;
+        double bestScore = Double.MAX_VALUE;
+        int ejected = 0;
+        int running = 0;
+        for (ServerState s : servers.values()) {
+            if (s.info.availability() == Availability.RUNNING) {
+                running++;
+                ejected += s.failures >= FAILURES ? 1 : 0;
+            }
+        }
+        boolean trustHealth = ejected <= MOST_EJECTED * running;
+        for (ServerState s : servers.values()) {
+            if (!mayTake(s, q, trustHealth)) {
+                continue;
+            }
+            double score = score(s, q) * (1 + 0.001 * random.nextDouble());
+            if (score < bestScore) {
+                bestScore = score;
+                best = s;
+            }
+        }
+        return best;
+    }
+
+    private boolean mayTake(ServerState s, Held q, boolean trustHealth) {
+        if (s.info.availability() != Availability.RUNNING || !groupAllows(s, q)) {
+            return false;
+        }
+        for (Try t : q.tries) {
+            if (t.server == s && servers.size() > 1) {
+                return false;
+            }
+        }
+        if (trustHealth && s.failures >= FAILURES && (now < s.ejectedUntil || s.out > 0)) {
+            return false;
+        }
+        return s.out + Math.min(1, q.weight) <= Math.max(1, s.limit) && (warmth(s) >= 1 || now >= s.coldNext);
+    }
+
+    private double score(ServerState s, Held q) {
+        double latency = latency(s);
+        double others = now - s.reportedAt < REPORT_AGE ? s.reported : 0;
+        return latency * (1 + s.out + others) / warmth(s);
+    }
+
+    /** A server's latency as a share of the aim; long waits for an answer count before it comes. */
+    private double latency(ServerState s) {
+        double known = fleetLatency;
+        if (!Double.isNaN(s.latency)) {
+            double fade = Math.exp(-(now - s.heardAt) / FADE);
+            known = s.latency * fade + fleetLatency * (1 - fade);
+        }
+        if (!s.sentAt.isEmpty()) {
+            double longestAim = 1;
+            for (ClassState c : classes.values()) {
+                longestAim = Math.max(longestAim, c.info.aimMicros());
+            }
+            known = Math.max(known, (now - s.sentAt.firstKey()) / longestAim);
+        }
+        return Math.max(known, 1e-3);
+    }
+
+    private void report(ServerState s, Map<String, Double> load) {
+        if (s == null || load.isEmpty()) {
+            return;
+        }
+        double queued = load.getOrDefault("queue", 0.0);
+        double inFlight = load.getOrDefault("inFlight", 0.0);
+        double busy = load.getOrDefault("utilization", 0.0);
+        s.reported = 0.5 * Math.max(queued, Math.max(inFlight - s.out, 0)) + busy;
+        s.reportedAt = now;
+    }
+
+    // ---- health ----
+
+    private void list(Servers e) {
+        if (e.listing() == Listing.FAILED) {
+            actions.add(new WakeAfter(Math.max(1, settings.rules().askWithinMicros() / 8), "watch:"));
+            return;
+        }
+        if (e.listing() != Listing.CHANGES) {
+            List<String> named = e.servers().stream().map(Server::id).toList();
+            for (ServerState s : servers.values()) {
+                if (!named.contains(s.info.id())) {
+                    s.info = new Server(s.info.id(), s.info.zone(), s.info.cell(), Availability.DELETED,
+                            s.info.weight(), s.info.startedMicros());
+                }
+            }
+        }
+        for (Server server : e.servers()) {
+            ServerState s = servers.computeIfAbsent(server.id(), id -> new ServerState());
+            if (s.info != null && s.info.startedMicros() != server.startedMicros()) {
+                s.failures = 0;
+                s.latency = Double.NaN;
+                s.ejectedUntil = 0;
+            }
+            s.info = server;
+        }
+        servers.values().removeIf(s -> s.info.availability() == Availability.DELETED && s.sentAt.isEmpty());
+        if (e.listing() == Listing.CACHED && settings.mustAskForServers()) {
+            actions.add(new Watch());
+        }
+    }
+
+    /** The share of its work that a server can do by now, at the least. */
+    private double warmth(ServerState s) {
+        Rules rules = settings.rules();
+        long age = now - s.info.startedMicros();
+        if (s.info.startedMicros() <= 0 || age >= rules.coldMicros()) {
+            return 1;
+        }
+        return rules.coldShare() + (1 - rules.coldShare()) * Math.max(0, age) / rules.coldMicros();
+    }
+
+    /** Notes a send, and sets when a cold server may have its next: its share of what a warm server gets. */
+    private void pace(ServerState s, double weight) {
+        warmSent *= Math.exp(-(now - warmAt) / RATE_TIME);
+        warmAt = now;
+        double warmth = warmth(s);
+        if (warmth >= 1) {
+            warmSent += weight;
+        }
+        long warm = servers.values().stream().filter(x -> x.info.availability() == Availability.RUNNING
+                && warmth(x) >= 1).count();
+        if (warm > 0) {
+            warmRate = warmSent / RATE_TIME / warm;
+        }
+        if (warmth < 1) {
+            double rate = Math.max(warmRate, 1 / RATE_TIME) * warmth;
+            s.coldNext = Math.max(now, s.coldNext) + (long) (weight / rate);
+        }
+    }
+
+    private void fare(ServerState s, Outcome e, ClassState type, double weight) {
+        double took = (double) e.tookMicros() / type.info.aimMicros();
+        switch (e.result()) {
+            case OK, ERROR -> {
+                s.failures = 0;
+                s.ejections = 0;
+                hear(s, took);
+                fleetLatency += SLOW_GAIN / 4 * (took - fleetLatency);
+                type.latency += SLOW_GAIN / 4 * (e.tookMicros() - type.latency);
+                adapt(s);
+            }
+            case TIMEOUT, RESET, CONNECT_FAILED -> {
+                hear(s, Math.max(took, s.latency));
+                s.failures++;
+                if (s.failures >= FAILURES) {
+                    s.ejectedUntil = now + Math.min(LONGEST_EJECTION, FIRST_EJECTION << Math.min(s.ejections, 8));
+                    s.ejections++;
+                }
+            }
+            case SHED -> s.limit = Math.max(LEAST_LIMIT, Math.min(s.limit, s.out) * (1 - CUT));
+            default -> {
+                return;
+            }
+        }
+    }
+
+    private void hear(ServerState s, double took) {
+        s.latency = Double.isNaN(s.latency) ? took : s.latency + FAST_GAIN * (took - s.latency);
+        s.heardAt = now;
+    }
+
+    /** Moves a server's limit: up while answers come in good time at the limit, down when they do not. */
+    private void adapt(ServerState s) {
+        if (s.latency > LATENCY_TARGET) {
+            s.limit = Math.max(LEAST_LIMIT, s.limit - CUT);
+        } else if (s.out + 1 >= s.limit) {
+            s.limit += 1 / s.limit;
+        }
+    }
+
+    // ---- attempts ----
+
+    private void send(Held q, ServerState s) {
+        pace(s, q.weight);
+        q.tries.add(new Try(s, now));
+        q.out++;
+        s.out += q.weight;
+        s.sentAt.merge(now, 1, Integer::sum);
+        actions.add(new Attempt(q.request.id(), s.info.id(), q.request.giveUpAtMicros()));
+        retries = Math.min(RETRY_STORE, retries + RETRY_SHARE);
+        if (q.type.info.repeat() != Repeat.AT_MOST_ONCE && !q.type.info.streamed()) {
+            wakeAt(now + (long) (CHECK_OF_AIM * q.type.info.aimMicros()), "check:", q);
+        }
+    }
+
+    private void outcome(Outcome e) {
+        Held q = held.get(e.requestId());
+        if (q == null || e.attempt() < 0 || e.attempt() >= q.tries.size()) {
+            return;
+        }
+        Try t = q.tries.get(e.attempt());
+        if (t.result != null) {
+            return;
+        }
+        t.result = e.result();
+        q.out--;
+        ServerState s = t.server;
+        s.out = Math.max(0, s.out - q.weight);
+        s.sentAt.computeIfPresent(t.sentAt, (at, n) -> n == 1 ? null : n - 1);
+        fare(s, e, q.type, q.weight);
+        report(s, e.load());
+        if (e.result() == Result.OK) {
+            settle(q, e.settledUnits());
+        }
+        if (e.over()) {
+            q.done = true;
+            queue.remove(q);
+        }
+        if (!q.done && q.out == 0) {
+            again(q);
+        }
+        forget(q);
+    }
+
+    /** Sends a request again where that is harmless and still of use, else answers it. */
+    private void again(Held q) {
+        boolean free = q.tries.stream().noneMatch(Try::mayHaveRun);
+        boolean useful = q.tries.size() < settings.limits().maxAttempts() && now <= q.startBy;
+        if (useful && (free || mayRepeat(q) && retries >= 1)) {
+            retries -= free ? 0 : 1;
+            enqueue(q);
+        } else {
+            refuse(q, (long) q.type.latency);
+        }
+    }
+
+    private boolean mayRepeat(Held q) {
+        return switch (q.type.info.repeat()) {
+            case IDEMPOTENT -> true;
+            case DEDUPLICATED -> now + 2 * settings.roundMicros() < repeatEnd(q);
+            case AT_MOST_ONCE -> q.tries.stream().noneMatch(Try::mayHaveRun);
+        };
+    }
+
+    private long repeatEnd(Held q) {
+        for (Try t : q.tries) {
+            if (t.mayHaveRun()) {
+                return t.sentAt + q.type.info.repeatWindowMicros();
+            }
+        }
+        return Long.MAX_VALUE;
+    }
+
+    private boolean groupAllows(ServerState s, Held q) {
+        if (q.type.info.repeat() != Repeat.DEDUPLICATED) {
+            return true;
+        }
+        if (!mayRepeat(q)) {
+            return false;
+        }
+        for (Try t : q.tries) {
+            Server was = t.server.info;
+            boolean same = switch (q.type.info.group()) {
+                case ALL -> true;
+                case ZONE -> was.zone().equals(s.info.zone());
+                case CELL -> was.cell() == s.info.cell() && was.zone().equals(s.info.zone());
+            };
+            if (t.mayHaveRun() && !same) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean mayRefuse(Held q) {
+        RequestClass type = q.type.info;
+        return type.repeat() == Repeat.IDEMPOTENT || q.tries.stream().noneMatch(Try::mayHaveRun)
+                || type.repeat() == Repeat.DEDUPLICATED && type.group() == Group.ALL;
+    }
+
+    /** Looks at an attempt that has been out for long: a copy elsewhere if allowed, else a new start. */
+    private void check(Held q) {
+        if (q.done || q.out != 1 || q.tries.size() >= settings.limits().maxAttempts() || retries < 1
+                || now > q.startBy || !mayRepeat(q)) {
+            return;
+        }
+        Try last = q.tries.get(q.tries.size() - 1);
+        if (last.result != null || latency(last.server) < SLOW_SERVER * fleetLatency) {
+            return;
+        }
+        if (settings.limits().duplicates()) {
+            retries--;
+            queue.add(q);
+        } else if (settings.limits().cancel()) {
+            actions.add(new Cancel(q.request.id(), q.tries.size() - 1));
+        }
+    }
+
+    // ---- deadlines ----
+
+    private void wakeAt(long at, String what, Held q) {
+        actions.add(new WakeAfter(Math.max(1, at - now), what + q.request.id()));
+    }
+
+    private void wake(String token) {
+        int colon = token.indexOf(':');
+        if (token.equals("watch:")) {
+            actions.add(new Watch());
+            return;
+        }
+        Held q = colon < 0 ? null : find(token.substring(colon + 1));
+        if (q == null || q.done || q.streaming) {
+            return;
+        }
+        switch (token.substring(0, colon)) {
+            case "ask" -> {
+                if (!q.decided) {
+                    silences++;
+                    admit(q);
+                }
+            }
+            case "hold" -> {
+                if (queue.contains(q) && now >= q.startBy) {
+                    queue.remove(q);
+                    if (q.out == 0) {
+                        refuse(q, (long) q.type.latency);
+                    }
+                }
+            }
+            case "check" -> check(q);
+            case "end" -> end(q);
+            default -> {
+                return;
+            }
+        }
+    }
+
+    private Held find(String id) {
+        try {
+            return held.get(Long.parseLong(id));
+        } catch (NumberFormatException e) {
+            return null;
+        }
+    }
+
+    private void end(Held q) {
+        close(q);
+        actions.add(new Fail(q.request.id()));
+        forget(q);
+    }
+
+    private void refuse(Held q, long waitMicros) {
+        close(q);
+        if (mayRefuse(q)) {
+            long seconds = Math.max(1, (waitMicros + 999_999) / 1_000_000);
+            actions.add(new Refuse(q.request.id(), seconds * 1_000_000));
+        } else {
+            actions.add(new Fail(q.request.id()));
+        }
+        forget(q);
+    }
+
+    private void gone(Gone e) {
+        Held q = held.get(e.requestId());
+        if (q != null && !q.done) {
+            close(q);
+            forget(q);
+        }
+    }
+
+    private void close(Held q) {
+        queue.remove(q);
+        q.decided = true;
+        q.done = true;
+        if (settings.limits().cancel()) {
+            for (int i = 0; i < q.tries.size(); i++) {
+                if (q.tries.get(i).result == null) {
+                    actions.add(new Cancel(q.request.id(), i));
+                }
+            }
+        }
+    }
+
+    private void forget(Held q) {
+        if (q.done && q.out == 0) {
+            release(q);
+            held.remove(q.request.id());
+        }
+    }
+}
