--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -66,11 +66,8 @@
     private static final class Tally {
         final String name;
         final long number;
-        double total;
-        double own;
-        double owed;
-        boolean closedRead;
-        boolean restoring;
+        double total, own, owed, sent;
+        boolean closedRead, restoring;
         Call reading;
 
         Tally(String name, long number) {
@@ -93,6 +90,15 @@
             this.limit = limit;
         }
 
+        /** The least that was used in the window before and in this one: what was heard, and what was sent. */
+        double provenPrevious() {
+            return Math.max(previous.total, previous.sent);
+        }
+
+        double provenCurrent() {
+            return Math.max(current.total, current.sent);
+        }
+
         void roll(long now) {
             long number = now / window;
             if (current != null && current.number == number) {
@@ -108,21 +114,7 @@
     }
 
     /** A call to the counter that is out. */
-    private static final class Call {
-        final Pair pair;
-        final Tally tally;
-        final Kind kind;
-        final double amount;
-        final boolean restores;
-        final List<Held> waiters = new ArrayList<>(1);
-
-        Call(Pair pair, Tally tally, Kind kind, double amount, boolean restores) {
-            this.pair = pair;
-            this.tally = tally;
-            this.kind = kind;
-            this.amount = amount;
-            this.restores = restores;
-        }
+    private record Call(Pair pair, Tally tally, Kind kind, double amount, boolean restores, List<Held> waiters) {
     }
 
     /** What was added for a request to one count, and the total found before it. */
@@ -287,19 +279,26 @@
         ask(q);
     }
 
-    /** Adds the request to its customer's counts and reads the windows before, each of these once. */
+    /** Adds the request to its customer's counts, unless what is known already proves it over. */
     private void ask(Held q) {
-        if (settings.counter().present()) {
-            for (Kind kind : Kind.values()) {
-                Pair pair = pair(q, kind);
-                if (pair != null) {
-                    double units = kind == Kind.OPEN ? 1 : q.request.units();
-                    q.shares.put(kind, new Share(pair, pair.current, units));
-                    await(q, call(pair, pair.current, kind, units, false));
-                    readPrevious(q, pair, kind);
-                }
+        for (Kind kind : settings.counter().present() ? Kind.values() : new Kind[0]) {
+            Pair pair = pair(q, kind);
+            if (pair == null) {
+                continue;
+            }
+            double units = kind == Kind.OPEN ? 1 : q.request.units();
+            q.shares.put(kind, new Share(pair, pair.current, units));
+            if (kind == Kind.RATE && proven(pair)) {
+                refuse(q, pair.window - now % pair.window);
+                return;
             }
         }
+        q.shares.forEach((kind, share) -> {
+            await(q, call(share.pair, share.tally, kind, share.units, false));
+            if (kind != Kind.RATE) {
+                readPrevious(q, share.pair, kind);
+            }
+        });
         if (q.waiting == 0 || silences >= SILENCES) {
             admit(q);
         } else {
@@ -307,6 +306,17 @@
         }
     }
 
+    /**
+     * Whether totals heard before, or this gatekeeper's own sends, prove the estimate at the limit: counts only
+     * grow within a window, so asking again would bring the same refusal. Guards against a counter that is
+     * crowded by hopeless tries, and bounds what is let in while it is slow or silent. It may hurt for up to a
+     * window after a count was taken back, or after others' sends beyond the quota were counted.
+     */
+    private boolean proven(Pair pair) {
+        long elapsed = now % pair.window;
+        return estimate(pair.provenPrevious(), pair.provenCurrent(), elapsed, pair.window) >= pair.limit;
+    }
+
     private void readPrevious(Held q, Pair pair, Kind kind) {
         Tally previous = pair.previous;
         if (!previous.closedRead) {
@@ -355,7 +365,7 @@
     }
 
     private Call call(Pair pair, Tally tally, Kind kind, double amount, boolean restores) {
-        Call call = new Call(pair, tally, kind, amount + tally.owed, restores);
+        Call call = new Call(pair, tally, kind, amount + tally.owed, restores, new ArrayList<>(1));
         tally.owed = 0;
         calls.computeIfAbsent(tally.name, n -> new ArrayDeque<>(2)).add(call);
         actions.add(new Count(tally.name, call.amount, 2 * pair.window));
@@ -421,12 +431,25 @@
     private void answered(Held q) {
         q.waiting--;
         if (q.waiting == 0 && !q.decided) {
-            decide(q);
+            Share rate = q.shares.get(Kind.RATE);
+            if (rate != null && mayDecide(rate)) {
+                readPrevious(q, rate.pair, Kind.RATE);
+            }
+            if (q.waiting == 0) {
+                decide(q);
+            }
         } else if (q.done && q.out == 0) {
             release(q);
         }
     }
 
+    /** Whether the window before can tip the estimate: it holds the limit at most, as refusals are taken back. */
+    private boolean mayDecide(Share share) {
+        Pair pair = share.pair;
+        return share.tally == pair.current && !Double.isNaN(share.before)
+                && estimate(pair.limit, share.before, now % pair.window, pair.window) >= pair.limit;
+    }
+
     private void decide(Held q) {
         Kind over = null;
         for (Map.Entry<Kind, Share> each : q.shares.entrySet()) {
@@ -474,6 +497,7 @@
     private void giveBack(Kind kind, Share share) {
         if (share.counted && now < (share.tally.number + 2) * share.pair.window) {
             share.counted = false;
+            share.tally.total -= share.units;
             call(share.pair, share.tally, kind, -share.units, false);
         }
     }
@@ -715,6 +739,9 @@
 
     private void send(Held q, ServerState s) {
         pace(s, q.weight);
+        if (q.tries.isEmpty()) {
+            q.shares.values().forEach(share -> share.tally.sent += share.units);
+        }
         q.tries.add(new Try(s, now));
         q.out++;
         s.out += q.weight;
@@ -757,10 +784,11 @@
 
     /** Sends a request again where that is harmless and still of use, else answers it. */
     private void again(Held q) {
+        // Work that was turned away draws on the budget too, or a full fleet is hammered.
         boolean free = q.tries.stream().noneMatch(Try::mayHaveRun);
         boolean useful = q.tries.size() < settings.limits().maxAttempts() && now <= q.startBy;
-        if (useful && (free || mayRepeat(q) && retries >= 1)) {
-            retries -= free ? 0 : 1;
+        if (useful && (free || mayRepeat(q)) && retries >= 1) {
+            retries--;
             enqueue(q);
         } else {
             refuse(q, (long) q.type.latency);
