--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -25,6 +25,12 @@
     private static final double WAIT_OF_AIM = 0.1;
     /** Silences in a row after which the counter is not waited for: one loss is chance, four are an outage. */
     private static final int SILENCES = 4;
+    /** ... and longest call times that must have passed since an answer: a crowded counter still gives some. */
+    private static final int SILENT_WAITS = 3;
+    /** Share of calls that fail or come late above which the counter is crowded: well above chance losses. */
+    private static final double CROWDED = 0.1;
+    /** Whole quotas that one customer may send through one gatekeeper while the counter is silent. */
+    private static final double RUNAWAY = 2;
     /** Weight of a new sample in the slow averages; about the last 20 samples count. */
     private static final double SLOW_GAIN = 0.05;
     /** Weight of a new sample in a server's latency; servers see few requests, so the last 5 count. */
@@ -81,8 +87,7 @@
         final String prefix;
         final long window;
         final double limit;
-        Tally current;
-        Tally previous;
+        Tally current, previous;
 
         Pair(String prefix, long window, double limit) {
             this.prefix = prefix;
@@ -90,15 +95,6 @@
             this.limit = limit;
         }
 
-        /** The least that was used in the window before and in this one: what was heard, and what was sent. */
-        double provenPrevious() {
-            return Math.max(previous.total, previous.sent);
-        }
-
-        double provenCurrent() {
-            return Math.max(current.total, current.sent);
-        }
-
         void roll(long now) {
             long number = now / window;
             if (current != null && current.number == number) {
@@ -123,13 +119,18 @@
         final Tally tally;
         final double units;
         double before = Double.NaN;
-        boolean counted;
+        boolean counted, sent;
 
         Share(Pair pair, Tally tally, double units) {
             this.pair = pair;
             this.tally = tally;
             this.units = units;
         }
+
+        void send() {
+            sent = true;
+            tally.sent += units;
+        }
     }
 
     /** A request that this gatekeeper holds. */
@@ -141,16 +142,10 @@
         final long aimAt;
         final Map<Kind, Share> shares = new TreeMap<>();
         final List<Try> tries = new ArrayList<>(1);
-        int waiting;
-        int out;
-        boolean decided;
-        boolean done;
-        boolean settled;
-        boolean streaming;
-        double rank;
-        double weight;
-        long sequence;
-        long startBy;
+        int waiting, out;
+        boolean decided, done, settled, streaming;
+        double rank, weight;
+        long sequence, startBy;
 
         Held(Request request, ClassState type, Plan plan, long now) {
             this.request = request;
@@ -194,14 +189,9 @@
         Server info;
         double limit = FIRST_LIMIT;
         double latency = Double.NaN;
-        double out;
-        double reported;
-        long reportedAt = Long.MIN_VALUE / 2;
-        long heardAt;
-        int failures;
-        int ejections;
-        long ejectedUntil;
-        long coldNext;
+        double out, reported;
+        int failures, ejections;
+        long heardAt, ejectedUntil, coldNext, reportedAt = Long.MIN_VALUE / 2;
         final TreeMap<Long, Integer> sentAt = new TreeMap<>();
     }
 
@@ -217,14 +207,13 @@
             ? Double.compare(b.rank, a.rank) : Long.compare(a.sequence, b.sequence));
     private final long longestDeadline;
     private List<Action> actions = new ArrayList<>();
-    private long now;
-    private long sequence;
+    private long now, sequence;
     private int silences;
-    private double callTime;
+    private double callTime, crowd;
+    private long heardAt;
     private double retries = RETRY_STORE;
     private double fleetLatency = LATENCY_TARGET / 2;
-    private double warmSent;
-    private double warmRate;
+    private double warmSent, warmRate;
     private long warmAt;
 
     /** Makes the decisions of one gatekeeper. */
@@ -279,42 +268,65 @@
         ask(q);
     }
 
-    /** Adds the request to its customer's counts, unless what is known already proves it over. */
+    /** Asks the counter for each kind of quota; adds the request's units, or only reads where that is enough. */
     private void ask(Held q) {
         for (Kind kind : settings.counter().present() ? Kind.values() : new Kind[0]) {
             Pair pair = pair(q, kind);
             if (pair == null) {
                 continue;
             }
-            double units = kind == Kind.OPEN ? 1 : q.request.units();
-            q.shares.put(kind, new Share(pair, pair.current, units));
-            if (kind == Kind.RATE && proven(pair)) {
-                refuse(q, pair.window - now % pair.window);
+            Share share = new Share(pair, pair.current, kind == Kind.OPEN ? 1 : q.request.units());
+            q.shares.put(kind, share);
+            if (silent() ? runaway(kind, pair) : crowded() && proven(kind, pair)) {
+                refuse(q, left(kind, pair, q));
                 return;
             }
         }
         q.shares.forEach((kind, share) -> {
-            await(q, call(share.pair, share.tally, kind, share.units, false));
+            // A try that is known to be over only reads: most such tries would take their add back again.
+            boolean hopeless = kind == Kind.RATE && !silent() && proven(kind, share.pair);
+            await(q, call(share.pair, share.tally, kind, hopeless ? 0 : share.units, false));
             if (kind != Kind.RATE) {
                 readPrevious(q, share.pair, kind);
             }
         });
-        if (q.waiting == 0 || silences >= SILENCES) {
+        if (q.waiting == 0 || silent()) {
             admit(q);
         } else {
             wakeAt(now + counterPatience(q), "ask:", q);
         }
     }
 
+    /** Nothing has come from the counter for several calls and long enough that it is not just crowded. */
+    private boolean silent() {
+        return silences >= SILENCES && now - heardAt > SILENT_WAITS * settings.counter().waitMicros();
+    }
+
+    private boolean crowded() {
+        return crowd > CROWDED;
+    }
+
+    /**
+     * Whether totals heard, or this gatekeeper's own sends, prove the quota used up: counts only grow within a
+     * window, so the answer is known. While the counter is crowded such a try is refused unasked. Guards against
+     * a counter jammed by tries without hope, whatever makes it slow. It may hurt for up to a window after peers
+     * took back adds, or after sends beyond the quota were counted.
+     */
+    private boolean proven(Kind kind, Pair pair) {
+        if (kind != Kind.RATE) {
+            return pair.previous.sent + pair.current.sent >= pair.limit;
+        }
+        return estimate(Math.max(pair.previous.total, pair.previous.sent),
+                Math.max(pair.current.total, pair.current.sent), now % pair.window, pair.window) >= pair.limit;
+    }
+
     /**
-     * Whether totals heard before, or this gatekeeper's own sends, prove the estimate at the limit: counts only
-     * grow within a window, so asking again would bring the same refusal. Guards against a counter that is
-     * crowded by hopeless tries, and bounds what is let in while it is slow or silent. It may hurt for up to a
-     * window after a count was taken back, or after others' sends beyond the quota were counted.
+     * While the counter is silent all is let in, but not what one customer sends through this gatekeeper alone
+     * far beyond its whole quota. Guards the servers against a surge or a loop that meets an outage.
      */
-    private boolean proven(Pair pair) {
-        long elapsed = now % pair.window;
-        return estimate(pair.provenPrevious(), pair.provenCurrent(), elapsed, pair.window) >= pair.limit;
+    private boolean runaway(Kind kind, Pair pair) {
+        return kind == Kind.RATE && estimate(pair.previous.sent, pair.current.sent, now % pair.window, pair.window)
+                >= RUNAWAY * pair.limit;
     }
 
     private void readPrevious(Held q, Pair pair, Kind kind) {
@@ -383,11 +395,14 @@
         }
         Tally tally = call.tally;
         boolean reading = tally.reading == call;
+        boolean late = e.result() != Result.OK || e.tookMicros() > settings.counter().waitMicros() / 2;
+        crowd += SLOW_GAIN * ((late ? 1 : 0) - crowd);
         if (reading) {
             tally.reading = null;
         }
         if (e.result() == Result.OK) {
             silences = 0;
+            heardAt = now;
             callTime += SLOW_GAIN * (e.tookMicros() - callTime);
             tally.closedRead |= reading;
             learn(call, e.total());
@@ -403,7 +418,7 @@
             Share share = q.shares.get(call.kind);
             if (e.result() == Result.OK && share.tally == tally && Double.isNaN(share.before)) {
                 share.before = tally.total - call.amount;
-                share.counted = true;
+                share.counted = call.amount > 0;
             }
             answered(q);
         }
@@ -458,13 +473,23 @@
             }
         }
         if (over == null) {
+            q.shares.forEach(this::addLate);
             admit(q);
             return;
         }
-        q.decided = true;
-        Pair pair = q.shares.get(over).pair;
-        long left = over == Kind.OPEN ? (long) q.type.latency : pair.window - now % pair.window;
-        refuse(q, left);
+        refuse(q, left(over, q.shares.get(over).pair, q));
+    }
+
+    /** A try that only read, and proved to have room after all, adds its units now. */
+    private void addLate(Kind kind, Share share) {
+        if (!share.counted && !Double.isNaN(share.before)) {
+            share.counted = true;
+            call(share.pair, share.tally, kind, share.units, false);
+        }
+    }
+
+    private long left(Kind kind, Pair pair, Held q) {
+        return kind == Kind.OPEN ? (long) q.type.latency : pair.window - now % pair.window;
     }
 
     private boolean over(Kind kind, Share share) {
@@ -491,6 +516,10 @@
             if (kind == Kind.OPEN || q.tries.isEmpty()) {
                 giveBack(kind, share);
             }
+            if (kind == Kind.OPEN && share.sent) {
+                share.sent = false;
+                share.tally.sent -= share.units;
+            }
         });
     }
 
@@ -715,9 +744,7 @@
                 }
             }
             case SHED -> s.limit = Math.max(LEAST_LIMIT, Math.min(s.limit, s.out) * (1 - CUT));
-            default -> {
-                return;
-            }
+            default -> { }
         }
     }
 
@@ -740,7 +767,7 @@
     private void send(Held q, ServerState s) {
         pace(s, q.weight);
         if (q.tries.isEmpty()) {
-            q.shares.values().forEach(share -> share.tally.sent += share.units);
+            q.shares.values().forEach(Share::send);
         }
         q.tries.add(new Try(s, now));
         q.out++;
@@ -890,9 +917,7 @@
             }
             case "check" -> check(q);
             case "end" -> end(q);
-            default -> {
-                return;
-            }
+            default -> { }
         }
     }
 
