--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -30,19 +30,21 @@
     /** Share of calls that fail or come late above which the counter is crowded: well above chance losses. */
     private static final double CROWDED = 0.1;
     /** Whole quotas that one customer may send through one gatekeeper while the counter is silent. */
-    private static final double RUNAWAY = 2;
+    private static final double RUNAWAY = 4;
     /** Weight of a new sample in the slow averages; about the last 20 samples count. */
     private static final double SLOW_GAIN = 0.05;
     /** Weight of a new sample in a server's latency; servers see few requests, so the last 5 count. */
     private static final double FAST_GAIN = 0.2;
     /** Mean latency as a share of the aim that a server is kept below: the tail takes the rest. */
     private static final double LATENCY_TARGET = 0.33;
-    /** Attempts out at one server to begin with; the latency seen moves it within some round trips. */
-    private static final double FIRST_LIMIT = 6;
-    /** A server's limit never falls below one attempt, or nothing would be learned of it. */
-    private static final double LEAST_LIMIT = 1;
-    /** Share by which a limit is cut for a round of late answers. */
-    private static final double CUT = 0.1;
+    /** Attempts out at one server, of all gatekeepers, to begin with; the latency seen soon moves it. */
+    private static final double FIRST_OUT = 12;
+    /** ... and at the least: about what keeps the cores of a small server at work. */
+    private static final double LEAST_OUT = 4;
+    /** The room grows while this share of it is used ... */
+    private static final double NEAR_FULL = 0.7;
+    /** ... by this share an answer, so that it doubles in some 35 answers. */
+    private static final double GROWTH = 0.02;
     /** Failures in a row that take a server out. */
     private static final int FAILURES = 3;
     /** First time out for an ejected server; it doubles each time up to the longest. */
@@ -160,11 +162,13 @@
     private static final class Try {
         final ServerState server;
         final long sentAt;
+        final double outBefore;
         Result result;
 
-        Try(ServerState server, long sentAt) {
+        Try(ServerState server, long sentAt, double outBefore) {
             this.server = server;
             this.sentAt = sentAt;
+            this.outBefore = outBefore;
         }
 
         boolean mayHaveRun() {
@@ -187,7 +191,6 @@
     /** What has been learned of a server. */
     private static final class ServerState {
         Server info;
-        double limit = FIRST_LIMIT;
         double latency = Double.NaN;
         double out, reported;
         int failures, ejections;
@@ -206,6 +209,7 @@
     private final TreeSet<Held> queue = new TreeSet<>((a, b) -> a.rank != b.rank
             ? Double.compare(b.rank, a.rank) : Long.compare(a.sequence, b.sequence));
     private final long longestDeadline;
+    private final double longestAim;
     private List<Action> actions = new ArrayList<>();
     private long now, sequence;
     private int silences;
@@ -213,7 +217,7 @@
     private long heardAt;
     private double retries = RETRY_STORE;
     private double fleetLatency = LATENCY_TARGET / 2;
-    private double warmSent, warmRate;
+    private double fleetOut, meanOut, room, warmSent, warmRate;
     private long warmAt;
 
     /** Makes the decisions of one gatekeeper. */
@@ -223,6 +227,7 @@
         settings.classes().forEach(c -> classes.put(c.name(), new ClassState(c)));
         settings.plans().forEach(p -> plans.put(p.name(), p));
         longestDeadline = settings.classes().stream().mapToLong(RequestClass::deadlineMicros).max().orElse(1_000_000);
+        longestAim = settings.classes().stream().mapToLong(RequestClass::aimMicros).max().orElse(1_000_000);
         callTime = settings.counter().waitMicros() / PATIENCE;
     }
 
@@ -246,8 +251,6 @@
             Held q = held.get(e.requestId());
             q.streaming = true;
             queue.remove(q);
-        } else if (event instanceof Probed e) {
-            report(servers.get(e.server()), e.load());
         }
         pump();
         return actions;
@@ -568,46 +571,35 @@
         }
     }
 
+    /** Sends what waits while a server has room; a second try may be bound to some servers and is stepped over. */
     private void pump() {
-        while (!queue.isEmpty()) {
-            Held sent = null;
-            for (Held q : queue) {
-                ServerState server = choose(q);
-                if (server != null) {
-                    queue.remove(q);
-                    send(q, server);
-                    sent = q;
-                    break;
-                }
-                if (q.tries.isEmpty()) {
-                    break;
-                }
-            }
-            if (sent == null) {
+        for (Held q = queue.isEmpty() ? null : queue.first(); q != null; ) {
+            ServerState server = choose(q);
+            Held next = queue.higher(q);
+            if (server == null && q.tries.isEmpty()) {
                 return;
             }
+            if (server != null) {
+                queue.remove(q);
+                send(q, server);
+            }
+            q = next;
         }
     }
 
     /** The least loaded server that may take this request now, or null. */
     private ServerState choose(Held q) {
+        List<ServerState> running = running();
+        if (fleetOut + Math.min(1, q.weight) > room(running.size())) {
+            return null;
+        }
+        // When many look bad the cause is not theirs: then none is left out for its health.
+        boolean trust = running.stream().filter(s -> s.failures >= FAILURES).count() <= MOST_EJECTED * running.size();
         ServerState best = null;
         double bestScore = Double.MAX_VALUE;
-        int ejected = 0;
-        int running = 0;
-        for (ServerState s : servers.values()) {
-            if (s.info.availability() == Availability.RUNNING) {
-                running++;
-                ejected += s.failures >= FAILURES ? 1 : 0;
-            }
-        }
-        boolean trustHealth = ejected <= MOST_EJECTED * running;
-        for (ServerState s : servers.values()) {
-            if (!mayTake(s, q, trustHealth)) {
-                continue;
-            }
-            double score = score(s, q) * (1 + 0.001 * random.nextDouble());
-            if (score < bestScore) {
+        for (ServerState s : running) {
+            double score = score(s) * (1 + 0.001 * random.nextDouble());
+            if (score < bestScore && mayTake(s, q, trust, running.size())) {
                 bestScore = score;
                 best = s;
             }
@@ -615,22 +607,39 @@
         return best;
     }
 
-    private boolean mayTake(ServerState s, Held q, boolean trustHealth) {
-        if (s.info.availability() != Availability.RUNNING || !groupAllows(s, q)) {
-            return false;
-        }
-        for (Try t : q.tries) {
-            if (t.server == s && servers.size() > 1) {
-                return false;
-            }
-        }
-        if (trustHealth && s.failures >= FAILURES && (now < s.ejectedUntil || s.out > 0)) {
-            return false;
+    private List<ServerState> running() {
+        return servers.values().stream().filter(s -> s.info.availability() == Availability.RUNNING).toList();
+    }
+
+    private boolean mayTake(ServerState s, Held q, boolean trust, int count) {
+        boolean ejected = trust && s.failures >= FAILURES && (now < s.ejectedUntil || s.out > 0);
+        boolean tried = count > 1 && q.tries.stream().anyMatch(t -> t.server == s);
+        boolean cold = warmth(s) < 1 && now < s.coldNext;
+        double part = 2 * room(count) / count * Math.min(1, fleetLatency / latency(s));
+        return !ejected && !tried && !cold && groupAllows(s, q) && s.out + Math.min(1, q.weight) <= Math.max(1, part);
+    }
+
+    /** Attempts that may be out in all: never less than keeps the servers at work, whatever the latency says. */
+    private double room(int count) {
+        return Math.max(room, Math.max(1, count * Math.min(1, LEAST_OUT / settings.gatekeepers())));
+    }
+
+    /**
+     * Learns how many attempts may be out from the latency of all servers: what was out, scaled so that the mean
+     * answer comes in its part of the aim. Guards against overload from any cause: surges, all servers slow, a
+     * shrunk fleet, tries let in unmetered. It may hurt when a slow few of the servers raise the mean.
+     */
+    private void adapt(double took, double out) {
+        fleetLatency += SLOW_GAIN * (took - fleetLatency);
+        meanOut += SLOW_GAIN * (out - meanOut);
+        if (fleetLatency > LATENCY_TARGET) {
+            room = Math.min(room, meanOut * LATENCY_TARGET / fleetLatency);
+        } else if (fleetOut >= room * NEAR_FULL) {
+            room += room * GROWTH;
         }
-        return s.out + Math.min(1, q.weight) <= Math.max(1, s.limit) && (warmth(s) >= 1 || now >= s.coldNext);
     }
 
-    private double score(ServerState s, Held q) {
+    private double score(ServerState s) {
         double latency = latency(s);
         double others = now - s.reportedAt < REPORT_AGE ? s.reported : 0;
         return latency * (1 + s.out + others) / warmth(s);
@@ -643,14 +652,8 @@
             double fade = Math.exp(-(now - s.heardAt) / FADE);
             known = s.latency * fade + fleetLatency * (1 - fade);
         }
-        if (!s.sentAt.isEmpty()) {
-            double longestAim = 1;
-            for (ClassState c : classes.values()) {
-                longestAim = Math.max(longestAim, c.info.aimMicros());
-            }
-            known = Math.max(known, (now - s.sentAt.firstKey()) / longestAim);
-        }
-        return Math.max(known, 1e-3);
+        double waited = s.sentAt.isEmpty() ? 0 : (now - s.sentAt.firstKey()) / longestAim;
+        return Math.max(1e-3, Math.max(known, waited));
     }
 
     private void report(ServerState s, Map<String, Double> load) {
@@ -689,6 +692,7 @@
             }
             s.info = server;
         }
+        room = room > 0 ? room : servers.size() * Math.max(1, FIRST_OUT / settings.gatekeepers());
         servers.values().removeIf(s -> s.info.availability() == Availability.DELETED && s.sentAt.isEmpty());
         if (e.listing() == Listing.CACHED && settings.mustAskForServers()) {
             actions.add(new Watch());
@@ -713,8 +717,7 @@
         if (warmth >= 1) {
             warmSent += weight;
         }
-        long warm = servers.values().stream().filter(x -> x.info.availability() == Availability.RUNNING
-                && warmth(x) >= 1).count();
+        long warm = running().stream().filter(x -> warmth(x) >= 1).count();
         if (warm > 0) {
             warmRate = warmSent / RATE_TIME / warm;
         }
@@ -724,16 +727,16 @@
         }
     }
 
-    private void fare(ServerState s, Outcome e, ClassState type, double weight) {
+    private void fare(Try t, Outcome e, ClassState type) {
+        ServerState s = t.server;
         double took = (double) e.tookMicros() / type.info.aimMicros();
         switch (e.result()) {
             case OK, ERROR -> {
                 s.failures = 0;
                 s.ejections = 0;
                 hear(s, took);
-                fleetLatency += SLOW_GAIN / 4 * (took - fleetLatency);
                 type.latency += SLOW_GAIN / 4 * (e.tookMicros() - type.latency);
-                adapt(s);
+                adapt(took, t.outBefore);
             }
             case TIMEOUT, RESET, CONNECT_FAILED -> {
                 hear(s, Math.max(took, s.latency));
@@ -743,7 +746,8 @@
                     s.ejections++;
                 }
             }
-            case SHED -> s.limit = Math.max(LEAST_LIMIT, Math.min(s.limit, s.out) * (1 - CUT));
+            // A full server is as good as one that answers late.
+            case SHED -> adapt(1, t.outBefore);
             default -> { }
         }
     }
@@ -753,15 +757,6 @@
         s.heardAt = now;
     }
 
-    /** Moves a server's limit: up while answers come in good time at the limit, down when they do not. */
-    private void adapt(ServerState s) {
-        if (s.latency > LATENCY_TARGET) {
-            s.limit = Math.max(LEAST_LIMIT, s.limit - CUT);
-        } else if (s.out + 1 >= s.limit) {
-            s.limit += 1 / s.limit;
-        }
-    }
-
     // ---- attempts ----
 
     private void send(Held q, ServerState s) {
@@ -769,7 +764,8 @@
         if (q.tries.isEmpty()) {
             q.shares.values().forEach(Share::send);
         }
-        q.tries.add(new Try(s, now));
+        fleetOut += q.weight;
+        q.tries.add(new Try(s, now, fleetOut));
         q.out++;
         s.out += q.weight;
         s.sentAt.merge(now, 1, Integer::sum);
@@ -793,8 +789,9 @@
         q.out--;
         ServerState s = t.server;
         s.out = Math.max(0, s.out - q.weight);
+        fleetOut = Math.max(0, fleetOut - q.weight);
         s.sentAt.computeIfPresent(t.sentAt, (at, n) -> n == 1 ? null : n - 1);
-        fare(s, e, q.type, q.weight);
+        fare(t, e, q.type);
         report(s, e.load());
         if (e.result() == Result.OK) {
             settle(q, e.settledUnits());
