--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -90,6 +90,9 @@
         final long window;
         final double limit;
         Tally current, previous;
+        /** The customer's store as replayed from the totals heard, and how far into each count that goes. */
+        double level = Double.NaN, levelCurrent, levelPrevious;
+        long levelAt;
 
         Pair(String prefix, long window, double limit) {
             this.prefix = prefix;
@@ -102,8 +105,37 @@
             if (current != null && current.number == number) {
                 return;
             }
-            previous = current != null && current.number == number - 1 ? current : tally(number - 1);
+            boolean next = current != null && current.number == number - 1;
+            previous = next ? current : tally(number - 1);
             current = tally(number);
+            level = next ? level : Double.NaN;
+            levelPrevious = levelCurrent;
+            levelCurrent = 0;
+        }
+
+        double estimate(double previous, double current, long now) {
+            return Logic.estimate(previous, current, now % window, window);
+        }
+
+        /**
+         * What the store holds, from the same two totals: it fills at the plan's rate and is drained by what was
+         * added since the last look. Counts that were lost or taken back fill it again, up to the limit.
+         */
+        void replay(double before, long now) {
+            if (Double.isNaN(level)) {
+                level = Math.max(0, limit - estimate(previous.total, before, now));
+            } else {
+                double used = before - levelCurrent + previous.total - levelPrevious;
+                level = Math.min(limit, level + limit * (now - levelAt) / window - used);
+            }
+            levelCurrent = before;
+            levelPrevious = previous.total;
+            levelAt = now;
+        }
+
+        /** The most that the store can hold by now. */
+        double levelBound(long now) {
+            return Double.isNaN(level) ? 0 : level + limit * (now - levelAt) / window;
         }
 
         private Tally tally(long number) {
@@ -280,14 +312,14 @@
             }
             Share share = new Share(pair, pair.current, kind == Kind.OPEN ? 1 : q.request.units());
             q.shares.put(kind, share);
-            if (silent() ? runaway(kind, pair) : crowded() && proven(kind, pair)) {
+            if (silent() ? runaway(kind, pair) : crowded() && proven(kind, pair, share.units)) {
                 refuse(q, left(kind, pair, q));
                 return;
             }
         }
         q.shares.forEach((kind, share) -> {
             // A try that is known to be over only reads: most such tries would take their add back again.
-            boolean hopeless = kind == Kind.RATE && !silent() && proven(kind, share.pair);
+            boolean hopeless = kind == Kind.RATE && !silent() && proven(kind, share.pair, share.units);
             await(q, call(share.pair, share.tally, kind, hopeless ? 0 : share.units, false));
             if (kind != Kind.RATE) {
                 readPrevious(q, share.pair, kind);
@@ -315,12 +347,12 @@
      * a counter jammed by tries without hope, whatever makes it slow. It may hurt for up to a window after peers
      * took back adds, or after sends beyond the quota were counted.
      */
-    private boolean proven(Kind kind, Pair pair) {
+    private boolean proven(Kind kind, Pair pair, double units) {
         if (kind != Kind.RATE) {
             return pair.previous.sent + pair.current.sent >= pair.limit;
         }
-        return estimate(Math.max(pair.previous.total, pair.previous.sent),
-                Math.max(pair.current.total, pair.current.sent), now % pair.window, pair.window) >= pair.limit;
+        return pair.levelBound(now) < units && pair.estimate(Math.max(pair.previous.total, pair.previous.sent),
+                Math.max(pair.current.total, pair.current.sent), now) >= pair.limit;
     }
 
     /**
@@ -328,8 +360,8 @@
      * far beyond its whole quota. Guards the servers against a surge or a loop that meets an outage.
      */
     private boolean runaway(Kind kind, Pair pair) {
-        return kind == Kind.RATE && estimate(pair.previous.sent, pair.current.sent, now % pair.window, pair.window)
-                >= RUNAWAY * pair.limit;
+        return kind == Kind.RATE
+                && pair.estimate(pair.previous.sent, pair.current.sent, now) >= RUNAWAY * pair.limit;
     }
 
     private void readPrevious(Held q, Pair pair, Kind kind) {
@@ -461,11 +493,11 @@
         }
     }
 
-    /** Whether the window before can tip the estimate: it holds the limit at most, as refusals are taken back. */
+    /** Whether the window before can tip the estimate: it holds the limit and a refilled store at most. */
     private boolean mayDecide(Share share) {
         Pair pair = share.pair;
         return share.tally == pair.current && !Double.isNaN(share.before)
-                && estimate(pair.limit, share.before, now % pair.window, pair.window) >= pair.limit;
+                && pair.estimate(2 * pair.limit, share.before, now) >= pair.limit;
     }
 
     private void decide(Held q) {
@@ -502,12 +534,30 @@
         Pair pair = share.pair;
         double previous = share.tally == pair.current ? pair.previous.total : pair.current.total;
         return switch (kind) {
-            case RATE -> estimate(previous, share.before, now % pair.window, pair.window) >= pair.limit;
+            case RATE -> pair.estimate(previous, share.before, now) >= pair.limit && !storeHolds(share);
             case OPEN -> Math.max(0, previous) + Math.max(0, share.before) >= pair.limit;
             case CEILING -> previous + share.before + share.units > pair.limit;
         };
     }
 
+    /**
+     * Whether the store would grant what the estimate refuses: after a burst the estimate stays at the limit while
+     * the store fills again. Acts on nothing else. It may let too much in where a peer's sends went uncounted.
+     */
+    private boolean storeHolds(Share share) {
+        Pair pair = share.pair;
+        if (share.tally != pair.current) {
+            return false;
+        }
+        pair.replay(share.before, now);
+        if (pair.level < share.units) {
+            return false;
+        }
+        pair.level -= share.units;
+        pair.levelCurrent += share.units;
+        return true;
+    }
+
     /** The weighted estimate of a customer's use in the window that ends now. */
     static double estimate(double previous, double current, long elapsed, long window) {
         return Math.max(0, previous) * (window - elapsed) / window + current;
