--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -119,17 +119,16 @@
 
         /**
          * What the store holds, from the same two totals: it fills at the plan's rate and is drained by what was
-         * added since the last look. Counts that were lost or taken back fill it again, up to the limit.
+         * added since the last look. Each count is followed by its highest mark: a total read before an own add
+         * came in, or a peer's add that is taken back, must not fill the store again.
          */
         void replay(double before, long now) {
-            if (Double.isNaN(level)) {
-                level = Math.max(0, limit - estimate(previous.total, before, now));
-            } else {
-                double used = before - levelCurrent + previous.total - levelPrevious;
-                level = Math.min(limit, level + limit * (now - levelAt) / window - used);
-            }
-            levelCurrent = before;
-            levelPrevious = previous.total;
+            double markCurrent = Math.max(before, levelCurrent);
+            double markPrevious = Math.max(previous.total, levelPrevious);
+            level = Double.isNaN(level) ? Math.max(0, limit - estimate(previous.total, before, now))
+                    : Math.min(limit, levelBound(now) - (markCurrent - levelCurrent) - (markPrevious - levelPrevious));
+            levelCurrent = markCurrent;
+            levelPrevious = markPrevious;
             levelAt = now;
         }
 
