--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -126,7 +126,7 @@
             double markCurrent = Math.max(before, levelCurrent);
             double markPrevious = Math.max(previous.total, levelPrevious);
             level = Double.isNaN(level) ? Math.max(0, limit - estimate(previous.total, before, now))
-                    : Math.min(limit, levelBound(now) - (markCurrent - levelCurrent) - (markPrevious - levelPrevious));
+                    : levelBound(now) - (markCurrent - levelCurrent) - (markPrevious - levelPrevious);
             levelCurrent = markCurrent;
             levelPrevious = markPrevious;
             levelAt = now;
@@ -134,7 +134,7 @@
 
         /** The most that the store can hold by now. */
         double levelBound(long now) {
-            return Double.isNaN(level) ? 0 : level + limit * (now - levelAt) / window;
+            return Double.isNaN(level) ? 0 : Math.min(limit, level + limit * (now - levelAt) / window);
         }
 
         private Tally tally(long number) {
@@ -453,6 +453,9 @@
             if (e.result() == Result.OK && share.tally == tally && Double.isNaN(share.before)) {
                 share.before = tally.total - call.amount;
                 share.counted = call.amount > 0;
+                if (call.kind == Kind.RATE && tally == call.pair.current && !Double.isNaN(call.pair.level)) {
+                    call.pair.replay(share.before, now);
+                }
             }
             answered(q);
         }
