--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -102,9 +102,7 @@
 
         void roll(long now) {
             long number = now / window;
-            if (current != null && current.number == number) {
-                return;
-            }
+            if (current != null && current.number == number) { return; }
             boolean next = current != null && current.number == number - 1;
             previous = next ? current : tally(number - 1);
             current = tally(number);
@@ -117,11 +115,9 @@
             return Logic.estimate(previous, current, now % window, window);
         }
 
-        /**
-         * What the store holds, from the same two totals: it fills at the plan's rate and is drained by what was
-         * added since the last look. Each count is followed by its highest mark: a total read before an own add
-         * came in, or a peer's add that is taken back, must not fill the store again.
-         */
+        // What the store holds, from the same two totals: it fills at the plan's rate and is drained by what was
+        // added since the last look. Each count is followed by its highest mark: a total read before an own add
+        // came in, or a peer's add that is taken back, must not fill the store again.
         void replay(double before, long now) {
             double markCurrent = Math.max(before, levelCurrent);
             double markPrevious = Math.max(previous.total, levelPrevious);
@@ -202,9 +198,7 @@
             this.outBefore = outBefore;
         }
 
-        boolean mayHaveRun() {
-            return result == null || result.mayHaveRun;
-        }
+        boolean mayHaveRun() { return result == null || result.mayHaveRun; }
     }
 
     /** What has been learned of a class. */
@@ -290,9 +284,7 @@
     // ---- quota ----
 
     private void request(Request r) {
-        if (held.containsKey(r.id())) {
-            return;
-        }
+        if (held.containsKey(r.id())) { return; }
         ClassState type = classes.computeIfAbsent(r.requestClass(), name -> new ClassState(new RequestClass(name,
                 r.giveUpAtMicros() - now, 0, longestDeadline, 1, 0, Repeat.AT_MOST_ONCE, Group.CELL, 0, false)));
         Plan plan = plans.computeIfAbsent(r.plan(), name -> new Plan(name, 0, 0, 0, 1, 0, 0, 0, 0, 0));
@@ -306,9 +298,7 @@
     private void ask(Held q) {
         for (Kind kind : settings.counter().present() ? Kind.values() : new Kind[0]) {
             Pair pair = pair(q, kind);
-            if (pair == null) {
-                continue;
-            }
+            if (pair == null) { continue; }
             Share share = new Share(pair, pair.current, kind == Kind.OPEN ? 1 : q.request.units());
             q.shares.put(kind, share);
             if (silent() ? runaway(kind, pair) : crowded() && proven(kind, pair, share.units)) {
@@ -320,9 +310,7 @@
             // A try that is known to be over only reads: most such tries would take their add back again.
             boolean hopeless = kind == Kind.RATE && !silent() && proven(kind, share.pair, share.units);
             await(q, call(share.pair, share.tally, kind, hopeless ? 0 : share.units, false));
-            if (kind != Kind.RATE) {
-                readPrevious(q, share.pair, kind);
-            }
+            if (kind != Kind.RATE) { readPrevious(q, share.pair, kind); }
         });
         if (q.waiting == 0 || silent()) {
             admit(q);
@@ -336,28 +324,20 @@
         return silences >= SILENCES && now - heardAt > SILENT_WAITS * settings.counter().waitMicros();
     }
 
-    private boolean crowded() {
-        return crowd > CROWDED;
-    }
+    private boolean crowded() { return crowd > CROWDED; }
 
-    /**
-     * Whether totals heard, or this gatekeeper's own sends, prove the quota used up: counts only grow within a
-     * window, so the answer is known. While the counter is crowded such a try is refused unasked. Guards against
-     * a counter jammed by tries without hope, whatever makes it slow. It may hurt for up to a window after peers
-     * took back adds, or after sends beyond the quota were counted.
-     */
+    // Whether totals heard, or this gatekeeper's own sends, prove the quota used up: counts only grow within a
+    // window, so the answer is known. While the counter is crowded such a try is refused unasked. Guards against
+    // a counter jammed by tries without hope, whatever makes it slow. It may hurt for up to a window after peers
+    // took back adds, or after sends beyond the quota were counted.
     private boolean proven(Kind kind, Pair pair, double units) {
-        if (kind != Kind.RATE) {
-            return pair.previous.sent + pair.current.sent >= pair.limit;
-        }
+        if (kind != Kind.RATE) { return pair.previous.sent + pair.current.sent >= pair.limit; }
         return pair.levelBound(now) < units && pair.estimate(Math.max(pair.previous.total, pair.previous.sent),
                 Math.max(pair.current.total, pair.current.sent), now) >= pair.limit;
     }
 
-    /**
-     * While the counter is silent all is let in, but not what one customer sends through this gatekeeper alone
-     * far beyond its whole quota. Guards the servers against a surge or a loop that meets an outage.
-     */
+    // While the counter is silent all is let in, but not what one customer sends through this gatekeeper alone
+    // far beyond its whole quota. Guards the servers against a surge or a loop that meets an outage.
     private boolean runaway(Kind kind, Pair pair) {
         return kind == Kind.RATE
                 && pair.estimate(pair.previous.sent, pair.current.sent, now) >= RUNAWAY * pair.limit;
@@ -366,9 +346,7 @@
     private void readPrevious(Held q, Pair pair, Kind kind) {
         Tally previous = pair.previous;
         if (!previous.closedRead) {
-            if (previous.reading == null) {
-                previous.reading = call(pair, previous, kind, 0, false);
-            }
+            if (previous.reading == null) { previous.reading = call(pair, previous, kind, 0, false); }
             await(q, previous.reading);
         }
     }
@@ -391,9 +369,7 @@
             case OPEN -> plan.concurrency() <= 0;
             case CEILING -> plan.ceilingRate() <= 0;
         };
-        if (none) {
-            return null;
-        }
+        if (none) { return null; }
         String prefix = "roc".charAt(kind.ordinal()) + q.request.customer() + ".";
         Pair pair = pairs.computeIfAbsent(prefix, p -> switch (kind) {
             case RATE -> pair(p, plan.storeSize(), plan.rate());
@@ -421,19 +397,13 @@
     private void counted(Counted e) {
         ArrayDeque<Call> line = calls.get(e.name());
         Call call = line == null ? null : line.poll();
-        if (call == null) {
-            return;
-        }
-        if (line.isEmpty()) {
-            calls.remove(e.name());
-        }
+        if (call == null) { return; }
+        if (line.isEmpty()) { calls.remove(e.name()); }
         Tally tally = call.tally;
         boolean reading = tally.reading == call;
         boolean late = e.result() != Result.OK || e.tookMicros() > settings.counter().waitMicros() / 2;
         crowd += SLOW_GAIN * ((late ? 1 : 0) - crowd);
-        if (reading) {
-            tally.reading = null;
-        }
+        if (reading) { tally.reading = null; }
         if (e.result() == Result.OK) {
             silences = 0;
             heardAt = now;
@@ -443,9 +413,7 @@
         } else {
             silences++;
             // An add that surely failed is carried to the next call; one that may have been added is not.
-            if (!e.result().mayHaveRun) {
-                tally.owed += call.amount;
-            }
+            if (!e.result().mayHaveRun) { tally.owed += call.amount; }
             tally.restoring &= !call.restores;
         }
         for (Held q : call.waiters) {
@@ -484,12 +452,8 @@
         q.waiting--;
         if (q.waiting == 0 && !q.decided) {
             Share rate = q.shares.get(Kind.RATE);
-            if (rate != null && mayDecide(rate)) {
-                readPrevious(q, rate.pair, Kind.RATE);
-            }
-            if (q.waiting == 0) {
-                decide(q);
-            }
+            if (rate != null && mayDecide(rate)) { readPrevious(q, rate.pair, Kind.RATE); }
+            if (q.waiting == 0) { decide(q); }
         } else if (q.done && q.out == 0) {
             release(q);
         }
@@ -505,9 +469,7 @@
     private void decide(Held q) {
         Kind over = null;
         for (Map.Entry<Kind, Share> each : q.shares.entrySet()) {
-            if (over(each.getKey(), each.getValue())) {
-                over = each.getKey();
-            }
+            if (over(each.getKey(), each.getValue())) { over = each.getKey(); }
         }
         if (over == null) {
             q.shares.forEach(this::addLate);
@@ -530,9 +492,7 @@
     }
 
     private boolean over(Kind kind, Share share) {
-        if (Double.isNaN(share.before)) {
-            return false;
-        }
+        if (Double.isNaN(share.before)) { return false; }
         Pair pair = share.pair;
         double previous = share.tally == pair.current ? pair.previous.total : pair.current.total;
         return switch (kind) {
@@ -542,19 +502,13 @@
         };
     }
 
-    /**
-     * Whether the store would grant what the estimate refuses: after a burst the estimate stays at the limit while
-     * the store fills again. Acts on nothing else. It may let too much in where a peer's sends went uncounted.
-     */
+    // Whether the store would grant what the estimate refuses: after a burst the estimate stays at the limit while
+    // the store fills again. Acts on nothing else. It may let too much in where a peer's sends went uncounted.
     private boolean storeHolds(Share share) {
         Pair pair = share.pair;
-        if (share.tally != pair.current) {
-            return false;
-        }
+        if (share.tally != pair.current) { return false; }
         pair.replay(share.before, now);
-        if (pair.level < share.units) {
-            return false;
-        }
+        if (pair.level < share.units) { return false; }
         pair.level -= share.units;
         pair.levelCurrent += share.units;
         return true;
@@ -568,9 +522,7 @@
     /** Takes back all that was added for a request that was not sent on, or its open attempt once that ended. */
     private void release(Held q) {
         q.shares.forEach((kind, share) -> {
-            if (kind == Kind.OPEN || q.tries.isEmpty()) {
-                giveBack(kind, share);
-            }
+            if (kind == Kind.OPEN || q.tries.isEmpty()) { giveBack(kind, share); }
             if (kind == Kind.OPEN && share.sent) {
                 share.sent = false;
                 share.tally.sent -= share.units;
@@ -618,9 +570,7 @@
             return;
         }
         queue.add(q);
-        if (q.startBy > now) {
-            wakeAt(q.startBy, "hold:", q);
-        }
+        if (q.startBy > now) { wakeAt(q.startBy, "hold:", q); }
     }
 
     /** Sends what waits while a server has room; a second try may be bound to some servers and is stepped over. */
@@ -628,9 +578,7 @@
         for (Held q = queue.isEmpty() ? null : queue.first(); q != null; ) {
             ServerState server = choose(q);
             Held next = queue.higher(q);
-            if (server == null && q.tries.isEmpty()) {
-                return;
-            }
+            if (server == null && q.tries.isEmpty()) { return; }
             if (server != null) {
                 queue.remove(q);
                 send(q, server);
@@ -642,9 +590,7 @@
     /** The least loaded server that may take this request now, or null. */
     private ServerState choose(Held q) {
         List<ServerState> running = running();
-        if (fleetOut + Math.min(1, q.weight) > room(running.size())) {
-            return null;
-        }
+        if (fleetOut + Math.min(1, q.weight) > room(running.size())) { return null; }
         // When many look bad the cause is not theirs: then none is left out for its health.
         boolean trust = running.stream().filter(s -> s.failures >= FAILURES).count() <= MOST_EJECTED * running.size();
         ServerState best = null;
@@ -676,11 +622,9 @@
         return Math.max(room, Math.max(1, count * Math.min(1, LEAST_OUT / settings.gatekeepers())));
     }
 
-    /**
-     * Learns how many attempts may be out from the latency of all servers: what was out, scaled so that the mean
-     * answer comes in its part of the aim. Guards against overload from any cause: surges, all servers slow, a
-     * shrunk fleet, tries let in unmetered. It may hurt when a slow few of the servers raise the mean.
-     */
+    // Learns how many attempts may be out from the latency of all servers: what was out, scaled so that the mean
+    // answer comes in its part of the aim. Guards against overload from any cause: surges, all servers slow, a
+    // shrunk fleet, tries let in unmetered. It may hurt when a slow few of the servers raise the mean.
     private void adapt(double took, double out) {
         fleetLatency += SLOW_GAIN * (took - fleetLatency);
         meanOut += SLOW_GAIN * (out - meanOut);
@@ -709,9 +653,7 @@
     }
 
     private void report(ServerState s, Map<String, Double> load) {
-        if (s == null || load.isEmpty()) {
-            return;
-        }
+        if (s == null || load.isEmpty()) { return; }
         double queued = load.getOrDefault("queue", 0.0);
         double inFlight = load.getOrDefault("inFlight", 0.0);
         double busy = load.getOrDefault("utilization", 0.0);
@@ -746,18 +688,14 @@
         }
         room = room > 0 ? room : servers.size() * Math.max(1, FIRST_OUT / settings.gatekeepers());
         servers.values().removeIf(s -> s.info.availability() == Availability.DELETED && s.sentAt.isEmpty());
-        if (e.listing() == Listing.CACHED && settings.mustAskForServers()) {
-            actions.add(new Watch());
-        }
+        if (e.listing() == Listing.CACHED && settings.mustAskForServers()) { actions.add(new Watch()); }
     }
 
     /** The share of its work that a server can do by now, at the least. */
     private double warmth(ServerState s) {
         Rules rules = settings.rules();
         long age = now - s.info.startedMicros();
-        if (s.info.startedMicros() <= 0 || age >= rules.coldMicros()) {
-            return 1;
-        }
+        if (s.info.startedMicros() <= 0 || age >= rules.coldMicros()) { return 1; }
         return rules.coldShare() + (1 - rules.coldShare()) * Math.max(0, age) / rules.coldMicros();
     }
 
@@ -766,13 +704,9 @@
         warmSent *= Math.exp(-(now - warmAt) / RATE_TIME);
         warmAt = now;
         double warmth = warmth(s);
-        if (warmth >= 1) {
-            warmSent += weight;
-        }
+        if (warmth >= 1) { warmSent += weight; }
         long warm = running().stream().filter(x -> warmth(x) >= 1).count();
-        if (warm > 0) {
-            warmRate = warmSent / RATE_TIME / warm;
-        }
+        if (warm > 0) { warmRate = warmSent / RATE_TIME / warm; }
         if (warmth < 1) {
             double rate = Math.max(warmRate, 1 / RATE_TIME) * warmth;
             s.coldNext = Math.max(now, s.coldNext) + (long) (weight / rate);
@@ -813,9 +747,7 @@
 
     private void send(Held q, ServerState s) {
         pace(s, q.weight);
-        if (q.tries.isEmpty()) {
-            q.shares.values().forEach(Share::send);
-        }
+        if (q.tries.isEmpty()) { q.shares.values().forEach(Share::send); }
         fleetOut += q.weight;
         q.tries.add(new Try(s, now, fleetOut));
         q.out++;
@@ -830,13 +762,9 @@
 
     private void outcome(Outcome e) {
         Held q = held.get(e.requestId());
-        if (q == null || e.attempt() < 0 || e.attempt() >= q.tries.size()) {
-            return;
-        }
+        if (q == null || e.attempt() < 0 || e.attempt() >= q.tries.size()) { return; }
         Try t = q.tries.get(e.attempt());
-        if (t.result != null) {
-            return;
-        }
+        if (t.result != null) { return; }
         t.result = e.result();
         q.out--;
         ServerState s = t.server;
@@ -845,16 +773,12 @@
         s.sentAt.computeIfPresent(t.sentAt, (at, n) -> n == 1 ? null : n - 1);
         fare(t, e, q.type);
         report(s, e.load());
-        if (e.result() == Result.OK) {
-            settle(q, e.settledUnits());
-        }
+        if (e.result() == Result.OK) { settle(q, e.settledUnits()); }
         if (e.over()) {
             q.done = true;
             queue.remove(q);
         }
-        if (!q.done && q.out == 0) {
-            again(q);
-        }
+        if (!q.done && q.out == 0) { again(q); }
         forget(q);
     }
 
@@ -881,20 +805,14 @@
 
     private long repeatEnd(Held q) {
         for (Try t : q.tries) {
-            if (t.mayHaveRun()) {
-                return t.sentAt + q.type.info.repeatWindowMicros();
-            }
+            if (t.mayHaveRun()) { return t.sentAt + q.type.info.repeatWindowMicros(); }
         }
         return Long.MAX_VALUE;
     }
 
     private boolean groupAllows(ServerState s, Held q) {
-        if (q.type.info.repeat() != Repeat.DEDUPLICATED) {
-            return true;
-        }
-        if (!mayRepeat(q)) {
-            return false;
-        }
+        if (q.type.info.repeat() != Repeat.DEDUPLICATED) { return true; }
+        if (!mayRepeat(q)) { return false; }
         for (Try t : q.tries) {
             Server was = t.server.info;
             boolean same = switch (q.type.info.group()) {
@@ -902,9 +820,7 @@
                 case ZONE -> was.zone().equals(s.info.zone());
                 case CELL -> was.cell() == s.info.cell() && was.zone().equals(s.info.zone());
             };
-            if (t.mayHaveRun() && !same) {
-                return false;
-            }
+            if (t.mayHaveRun() && !same) { return false; }
         }
         return true;
     }
@@ -922,9 +838,7 @@
             return;
         }
         Try last = q.tries.get(q.tries.size() - 1);
-        if (last.result != null || latency(last.server) < SLOW_SERVER * fleetLatency) {
-            return;
-        }
+        if (last.result != null || latency(last.server) < SLOW_SERVER * fleetLatency) { return; }
         if (settings.limits().duplicates()) {
             retries--;
             queue.add(q);
@@ -946,9 +860,7 @@
             return;
         }
         Held q = colon < 0 ? null : find(token.substring(colon + 1));
-        if (q == null || q.done || q.streaming) {
-            return;
-        }
+        if (q == null || q.done || q.streaming) { return; }
         switch (token.substring(0, colon)) {
             case "ask" -> {
                 if (!q.decided) {
@@ -959,9 +871,7 @@
             case "hold" -> {
                 if (queue.contains(q) && now >= q.startBy) {
                     queue.remove(q);
-                    if (q.out == 0) {
-                        refuse(q, (long) q.type.latency);
-                    }
+                    if (q.out == 0) { refuse(q, (long) q.type.latency); }
                 }
             }
             case "check" -> check(q);
@@ -1009,9 +919,7 @@
         q.done = true;
         if (settings.limits().cancel()) {
             for (int i = 0; i < q.tries.size(); i++) {
-                if (q.tries.get(i).result == null) {
-                    actions.add(new Cancel(q.request.id(), i));
-                }
+                if (q.tries.get(i).result == null) { actions.add(new Cancel(q.request.id(), i)); }
             }
         }
     }
