--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -23,9 +23,9 @@
     private static final double PATIENCE = 6;
     /** ... but never for more than this share of the aim, so that the wait alone costs no answer. */
     private static final double WAIT_OF_AIM = 0.1;
-    /** Silences in a row after which the counter is not waited for: one loss is chance, four are an outage. */
+    // Silences in a row after which the counter is not waited for: one loss is chance, four are an outage.
     private static final int SILENCES = 4;
-    /** ... and longest call times that must have passed since an answer: a crowded counter still gives some. */
+    // ... and longest call times that must have passed since an answer: a crowded counter still gives some.
     private static final int SILENT_WAITS = 3;
     /** Share of calls that fail or come late above which the counter is crowded: well above chance losses. */
     private static final double CROWDED = 0.1;
@@ -36,24 +36,21 @@
     /** Weight of a new sample in a server's latency; servers see few requests, so the last 5 count. */
     private static final double FAST_GAIN = 0.2;
     /** Mean latency as a share of the aim that a server is kept below: the tail takes the rest. */
-    private static final double LATENCY_TARGET = 0.33;
+    private static final double LATENCY_TARGET = 0.45;
     /** Attempts out at one server, of all gatekeepers, to begin with; the latency seen soon moves it. */
     private static final double FIRST_OUT = 12;
     /** ... and at the least: about what keeps the cores of a small server at work. */
-    private static final double LEAST_OUT = 4;
-    /** The room grows while this share of it is used ... */
-    private static final double NEAR_FULL = 0.7;
+    private static final double LEAST_OUT = 6;
+    private static final double NEAR_FULL = 0.7; // The room grows while this share of it is used ...
     /** ... by this share an answer, so that it doubles in some 35 answers. */
     private static final double GROWTH = 0.02;
-    /** Failures in a row that take a server out. */
-    private static final int FAILURES = 3;
+    private static final int FAILURES = 3; // Failures in a row that take a server out.
     /** First time out for an ejected server; it doubles each time up to the longest. */
     private static final long FIRST_EJECTION = 1_000_000;
     private static final long LONGEST_EJECTION = 16_000_000;
     /** At most this share of the servers is held ejected: when more fail, the cause is not theirs. */
     private static final double MOST_EJECTED = 0.5;
-    /** A load report older than this says nothing. */
-    private static final long REPORT_AGE = 2_000_000;
+    private static final long REPORT_AGE = 2_000_000; // A load report older than this says nothing.
     /** Latency knowledge of a server that is not used fades with this time, so that it is tried again. */
     private static final double FADE = 8_000_000;
     /** Time constant of the send rate that a cold server's part is taken of. */
@@ -107,6 +104,7 @@
             previous = next ? current : tally(number - 1);
             current = tally(number);
             level = next ? level : Double.NaN;
+            levelAt = next ? levelAt : now;
             levelPrevious = levelCurrent;
             levelCurrent = 0;
         }
@@ -115,9 +113,9 @@
             return Logic.estimate(previous, current, now % window, window);
         }
 
-        // What the store holds, from the same two totals: it fills at the plan's rate and is drained by what was
-        // added since the last look. Each count is followed by its highest mark: a total read before an own add
-        // came in, or a peer's add that is taken back, must not fill the store again.
+        // What the store holds, from the same two totals: it fills at the plan's rate and is drained by what
+        // was added since the last look. Each count is followed by its highest mark: a total read before an
+        // own add came in, or a peer's add that is taken back, must not fill the store again.
         void replay(double before, long now) {
             double markCurrent = Math.max(before, levelCurrent);
             double markPrevious = Math.max(previous.total, levelPrevious);
@@ -139,8 +137,8 @@
     }
 
     /** A call to the counter that is out. */
-    private record Call(Pair pair, Tally tally, Kind kind, double amount, boolean restores, List<Held> waiters) {
-    }
+    private record Call(Pair pair, Tally tally, Kind kind, double amount, boolean restores,
+                        List<Held> waiters) { }
 
     /** What was added for a request to one count, and the total found before it. */
     private static final class Share {
@@ -251,8 +249,9 @@
         this.random = new SplittableRandom(settings.seed());
         settings.classes().forEach(c -> classes.put(c.name(), new ClassState(c)));
         settings.plans().forEach(p -> plans.put(p.name(), p));
-        longestDeadline = settings.classes().stream().mapToLong(RequestClass::deadlineMicros).max().orElse(1_000_000);
-        longestAim = settings.classes().stream().mapToLong(RequestClass::aimMicros).max().orElse(1_000_000);
+        List<RequestClass> types = settings.classes();
+        longestDeadline = types.stream().mapToLong(RequestClass::deadlineMicros).max().orElse(1_000_000);
+        longestAim = types.stream().mapToLong(RequestClass::aimMicros).max().orElse(1_000_000);
         callTime = settings.counter().waitMicros() / PATIENCE;
     }
 
@@ -260,23 +259,13 @@
     public List<Action> on(long nowMicros, Event event) {
         now = nowMicros;
         actions = new ArrayList<>();
-        if (event instanceof Request e) {
-            request(e);
-        } else if (event instanceof Counted e) {
-            counted(e);
-        } else if (event instanceof Outcome e) {
-            outcome(e);
-        } else if (event instanceof Wake e) {
-            wake(e.token());
-        } else if (event instanceof Servers e) {
-            list(e);
-        } else if (event instanceof Gone e) {
-            gone(e);
-        } else if (event instanceof Started e && held.containsKey(e.requestId())) {
-            Held q = held.get(e.requestId());
-            q.streaming = true;
-            queue.remove(q);
-        }
+        if (event instanceof Request e) { request(e); }
+        if (event instanceof Counted e) { counted(e); }
+        if (event instanceof Outcome e) { outcome(e); }
+        if (event instanceof Wake e) { wake(e.token()); }
+        if (event instanceof Servers e) { list(e); }
+        if (event instanceof Gone e) { gone(e); }
+        if (event instanceof Started e) { started(e); }
         pump();
         return actions;
     }
@@ -285,8 +274,9 @@
 
     private void request(Request r) {
         if (held.containsKey(r.id())) { return; }
-        ClassState type = classes.computeIfAbsent(r.requestClass(), name -> new ClassState(new RequestClass(name,
-                r.giveUpAtMicros() - now, 0, longestDeadline, 1, 0, Repeat.AT_MOST_ONCE, Group.CELL, 0, false)));
+        // A class or plan that the settings do not name: nothing may be repeated, and there is no quota.
+        ClassState type = classes.computeIfAbsent(r.requestClass(), name -> new ClassState(new RequestClass(
+                name, longestDeadline, 0, longestDeadline, 1, 0, Repeat.AT_MOST_ONCE, Group.CELL, 0, false)));
         Plan plan = plans.computeIfAbsent(r.plan(), name -> new Plan(name, 0, 0, 0, 1, 0, 0, 0, 0, 0));
         Held q = new Held(r, type, plan, now);
         held.put(r.id(), q);
@@ -294,14 +284,14 @@
         ask(q);
     }
 
-    /** Asks the counter for each kind of quota; adds the request's units, or only reads where that is enough. */
+    // Asks the counter for each kind of quota; adds the request's units, or only reads where that is enough.
     private void ask(Held q) {
         for (Kind kind : settings.counter().present() ? Kind.values() : new Kind[0]) {
             Pair pair = pair(q, kind);
             if (pair == null) { continue; }
             Share share = new Share(pair, pair.current, kind == Kind.OPEN ? 1 : q.request.units());
             q.shares.put(kind, share);
-            if (silent() ? runaway(kind, pair) : crowded() && proven(kind, pair, share.units)) {
+            if (silent() ? runaway(kind, pair) : crowd > CROWDED && proven(kind, pair, share.units)) {
                 refuse(q, left(kind, pair, q));
                 return;
             }
@@ -313,31 +303,46 @@
             if (kind != Kind.RATE) { readPrevious(q, share.pair, kind); }
         });
         if (q.waiting == 0 || silent()) {
-            admit(q);
+            admitUnasked(q);
         } else {
             wakeAt(now + counterPatience(q), "ask:", q);
         }
     }
 
+    // Lets a request in without the counter's word; only a ceiling is held then, by this gatekeeper's share
+    // of its rate. Guards the ceiling's rule under any loss of the counter; it refuses what peers leave unused.
+    private void admitUnasked(Held q) {
+        Share share = q.shares.get(Kind.CEILING);
+        if (share == null || !Double.isNaN(share.before)) { admit(q); return; }
+        Pair pair = share.pair;
+        double part = Math.max(1, q.request.spread());
+        pair.level = Math.min(pair.limit / part, (Double.isNaN(pair.level) ? 0 : pair.level)
+                + pair.limit * (now - Math.max(pair.levelAt, heardAt)) / pair.window / part);
+        pair.levelAt = now;
+        if (pair.level < share.units) { refuse(q, pair.window); return; }
+        pair.level -= share.units;
+        admit(q);
+    }
+
     /** Nothing has come from the counter for several calls and long enough that it is not just crowded. */
     private boolean silent() {
         return silences >= SILENCES && now - heardAt > SILENT_WAITS * settings.counter().waitMicros();
     }
 
-    private boolean crowded() { return crowd > CROWDED; }
 
-    // Whether totals heard, or this gatekeeper's own sends, prove the quota used up: counts only grow within a
-    // window, so the answer is known. While the counter is crowded such a try is refused unasked. Guards against
-    // a counter jammed by tries without hope, whatever makes it slow. It may hurt for up to a window after peers
-    // took back adds, or after sends beyond the quota were counted.
+    // Whether totals heard, or this gatekeeper's own sends, prove the quota used up: counts only grow within
+    // a window, so the answer is known. While the counter is crowded such a try is refused unasked. Guards
+    // against a counter jammed by tries without hope, whatever makes it slow. It may hurt for up to a window
+    // after peers took back adds, or after sends beyond the quota were counted.
     private boolean proven(Kind kind, Pair pair, double units) {
         if (kind != Kind.RATE) { return pair.previous.sent + pair.current.sent >= pair.limit; }
-        return pair.levelBound(now) < units && pair.estimate(Math.max(pair.previous.total, pair.previous.sent),
-                Math.max(pair.current.total, pair.current.sent), now) >= pair.limit;
+        double previous = Math.max(pair.previous.total, pair.previous.sent);
+        double current = Math.max(pair.current.total, pair.current.sent);
+        return pair.levelBound(now) < units && pair.estimate(previous, current, now) >= pair.limit;
     }
 
-    // While the counter is silent all is let in, but not what one customer sends through this gatekeeper alone
-    // far beyond its whole quota. Guards the servers against a surge or a loop that meets an outage.
+    // While the counter is silent all is let in, but not what one customer sends through this gatekeeper
+    // alone far beyond its whole quota. Guards the servers against a surge or a loop that meets an outage.
     private boolean runaway(Kind kind, Pair pair) {
         return kind == Kind.RATE
                 && pair.estimate(pair.previous.sent, pair.current.sent, now) >= RUNAWAY * pair.limit;
@@ -473,7 +478,7 @@
         }
         if (over == null) {
             q.shares.forEach(this::addLate);
-            admit(q);
+            admitUnasked(q);
             return;
         }
         refuse(q, left(over, q.shares.get(over).pair, q));
@@ -502,8 +507,9 @@
         };
     }
 
-    // Whether the store would grant what the estimate refuses: after a burst the estimate stays at the limit while
-    // the store fills again. Acts on nothing else. It may let too much in where a peer's sends went uncounted.
+    // Whether the store would grant what the estimate refuses: after a burst the estimate stays at the limit
+    // while the store fills again. Acts on nothing else. It may let too much in where a peer's sends went
+    // uncounted.
     private boolean storeHolds(Share share) {
         Pair pair = share.pair;
         if (share.tally != pair.current) { return false; }
@@ -519,7 +525,7 @@
         return Math.max(0, previous) * (window - elapsed) / window + current;
     }
 
-    /** Takes back all that was added for a request that was not sent on, or its open attempt once that ended. */
+    // Takes back all that was added for a request that was not sent on, or its open attempt once that ended.
     private void release(Held q) {
         q.shares.forEach((kind, share) -> {
             if (kind == Kind.OPEN || q.tries.isEmpty()) { giveBack(kind, share); }
@@ -573,7 +579,8 @@
         if (q.startBy > now) { wakeAt(q.startBy, "hold:", q); }
     }
 
-    /** Sends what waits while a server has room; a second try may be bound to some servers and is stepped over. */
+    // Sends what waits while a server has room; a second try may be bound to some servers and is stepped
+    // over.
     private void pump() {
         for (Held q = queue.isEmpty() ? null : queue.first(); q != null; ) {
             ServerState server = choose(q);
@@ -592,7 +599,8 @@
         List<ServerState> running = running();
         if (fleetOut + Math.min(1, q.weight) > room(running.size())) { return null; }
         // When many look bad the cause is not theirs: then none is left out for its health.
-        boolean trust = running.stream().filter(s -> s.failures >= FAILURES).count() <= MOST_EJECTED * running.size();
+        long bad = running.stream().filter(s -> s.failures >= FAILURES).count();
+        boolean trust = bad <= MOST_EJECTED * running.size();
         ServerState best = null;
         double bestScore = Double.MAX_VALUE;
         for (ServerState s : running) {
@@ -614,17 +622,19 @@
         boolean tried = count > 1 && q.tries.stream().anyMatch(t -> t.server == s);
         boolean cold = warmth(s) < 1 && now < s.coldNext;
         double part = 2 * room(count) / count * Math.min(1, fleetLatency / latency(s));
-        return !ejected && !tried && !cold && groupAllows(s, q) && s.out + Math.min(1, q.weight) <= Math.max(1, part);
+        return !ejected && !tried && !cold && groupAllows(s, q)
+                && s.out + Math.min(1, q.weight) <= Math.max(1, part);
     }
 
-    /** Attempts that may be out in all: never less than keeps the servers at work, whatever the latency says. */
+    // Attempts that may be out in all: never less than keeps the servers at work, whatever the latency says.
     private double room(int count) {
-        return Math.max(room, Math.max(1, count * Math.min(1, LEAST_OUT / settings.gatekeepers())));
+        return Math.max(room, Math.max(1, count * LEAST_OUT / settings.gatekeepers()));
     }
 
-    // Learns how many attempts may be out from the latency of all servers: what was out, scaled so that the mean
-    // answer comes in its part of the aim. Guards against overload from any cause: surges, all servers slow, a
-    // shrunk fleet, tries let in unmetered. It may hurt when a slow few of the servers raise the mean.
+    // Learns how many attempts may be out from the latency of all servers: what was out, scaled so that the
+    // mean answer comes in its part of the aim. Guards against overload from any cause: surges, all servers
+    // slow, a shrunk fleet, tries let in unmetered. It may hurt when a slow few of the servers raise the
+    // mean.
     private void adapt(double took, double out) {
         fleetLatency += SLOW_GAIN * (took - fleetLatency);
         meanOut += SLOW_GAIN * (out - meanOut);
@@ -728,8 +738,8 @@
                 hear(s, Math.max(took, s.latency));
                 s.failures++;
                 if (s.failures >= FAILURES) {
-                    s.ejectedUntil = now + Math.min(LONGEST_EJECTION, FIRST_EJECTION << Math.min(s.ejections, 8));
-                    s.ejections++;
+                    long time = FIRST_EJECTION << Math.min(s.ejections++, 8);
+                    s.ejectedUntil = now + Math.min(LONGEST_EJECTION, time);
                 }
             }
             // A full server is as good as one that answers late.
@@ -865,7 +875,7 @@
             case "ask" -> {
                 if (!q.decided) {
                     silences++;
-                    admit(q);
+                    admitUnasked(q);
                 }
             }
             case "hold" -> {
@@ -913,6 +923,14 @@
         }
     }
 
+    // A streamed answer that has begun is the client's: nothing is sent or ended for it any more.
+    private void started(Started e) {
+        Held q = held.get(e.requestId());
+        if (q == null) { return; }
+        q.streaming = true;
+        queue.remove(q);
+    }
+
     private void close(Held q) {
         queue.remove(q);
         q.decided = true;
