--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -36,18 +36,16 @@
     /** Weight of a new sample in a server's latency; servers see few requests, so the last 5 count. */
     private static final double FAST_GAIN = 0.2;
     /** Mean latency as a share of the aim that a server is kept below: the tail takes the rest. */
-    private static final double LATENCY_TARGET = 0.45;
+    private static final double LATENCY_TARGET = 0.25;
     /** Attempts out at one server, of all gatekeepers, to begin with; the latency seen soon moves it. */
     private static final double FIRST_OUT = 12;
     /** ... and at the least: about what keeps the cores of a small server at work. */
-    private static final double LEAST_OUT = 6;
-    private static final double NEAR_FULL = 0.7; // The room grows while this share of it is used ...
-    /** ... by this share an answer, so that it doubles in some 35 answers. */
-    private static final double GROWTH = 0.02;
+    private static final double LEAST_OUT = 4;
+    /** While this share of the room is used it grows by that share an answer: twice in 35 answers. */
+    private static final double NEAR_FULL = 0.7, GROWTH = 0.02;
     private static final int FAILURES = 3; // Failures in a row that take a server out.
-    /** First time out for an ejected server; it doubles each time up to the longest. */
-    private static final long FIRST_EJECTION = 1_000_000;
-    private static final long LONGEST_EJECTION = 16_000_000;
+    /** First time out for an ejected server, and the longest; it doubles each time. */
+    private static final long FIRST_EJECTION = 1_000_000, LONGEST_EJECTION = 16_000_000;
     /** At most this share of the servers is held ejected: when more fail, the cause is not theirs. */
     private static final double MOST_EJECTED = 0.5;
     private static final long REPORT_AGE = 2_000_000; // A load report older than this says nothing.
@@ -60,8 +58,7 @@
     /** ... and is given up if its server looks this many times slower than the fleet. */
     private static final double SLOW_SERVER = 2.5;
     /** Further attempts of work that may have run, per first attempt: bounds the load that retries add. */
-    private static final double RETRY_SHARE = 0.1;
-    private static final double RETRY_STORE = 10;
+    private static final double RETRY_SHARE = 0.1, RETRY_STORE = 10;
     /** Rounds before the client gives up in which its answer must be on its way. */
     private static final int MARGIN_ROUNDS = 2;
 
@@ -231,17 +228,13 @@
     private final Map<Long, Held> held = new LinkedHashMap<>();
     private final TreeSet<Held> queue = new TreeSet<>((a, b) -> a.rank != b.rank
             ? Double.compare(b.rank, a.rank) : Long.compare(a.sequence, b.sequence));
-    private final long longestDeadline;
-    private final double longestAim;
+    private final long longestDeadline, longestAim;
     private List<Action> actions = new ArrayList<>();
     private long now, sequence;
     private int silences;
-    private double callTime, crowd;
-    private long heardAt;
-    private double retries = RETRY_STORE;
-    private double fleetLatency = LATENCY_TARGET / 2;
-    private double fleetOut, meanOut, room, warmSent, warmRate;
-    private long warmAt;
+    private long heardAt, warmAt;
+    private double callTime, crowd, fleetOut, meanOut, room, warmSent, warmRate;
+    private double retries = RETRY_STORE, fleetLatency = LATENCY_TARGET / 2;
 
     /** Makes the decisions of one gatekeeper. */
     public Logic(Settings settings) {
@@ -310,7 +303,7 @@
     }
 
     // Lets a request in without the counter's word; only a ceiling is held then, by this gatekeeper's share
-    // of its rate. Guards the ceiling's rule under any loss of the counter; it refuses what peers leave unused.
+    // of its rate. Guards the ceiling's rule under any loss of the counter; refuses what peers leave unused.
     private void admitUnasked(Held q) {
         Share share = q.shares.get(Kind.CEILING);
         if (share == null || !Double.isNaN(share.before)) { admit(q); return; }
@@ -560,11 +553,9 @@
     private void admit(Held q) {
         q.decided = true;
         q.sequence = sequence++;
-        ClassState type = q.type;
-        double units = q.request.units();
-        type.units += SLOW_GAIN * (units - type.units);
-        q.weight = Math.max(0.1, units / type.units);
-        q.rank = type.info.worth() / type.latency;
+        q.type.units += SLOW_GAIN * (q.request.units() - q.type.units);
+        q.weight = Math.max(0.1, q.request.units() / q.type.units);
+        q.rank = q.type.info.worth() / q.type.latency;
         enqueue(q);
     }
 
@@ -579,8 +570,7 @@
         if (q.startBy > now) { wakeAt(q.startBy, "hold:", q); }
     }
 
-    // Sends what waits while a server has room; a second try may be bound to some servers and is stepped
-    // over.
+    /** Sends what waits while a server has room; a second try bound to some servers is stepped over. */
     private void pump() {
         for (Held q = queue.isEmpty() ? null : queue.first(); q != null; ) {
             ServerState server = choose(q);
@@ -628,13 +618,12 @@
 
     // Attempts that may be out in all: never less than keeps the servers at work, whatever the latency says.
     private double room(int count) {
-        return Math.max(room, Math.max(1, count * LEAST_OUT / settings.gatekeepers()));
+        return Math.max(room, Math.max(1, count * Math.min(1, LEAST_OUT / settings.gatekeepers())));
     }
 
     // Learns how many attempts may be out from the latency of all servers: what was out, scaled so that the
     // mean answer comes in its part of the aim. Guards against overload from any cause: surges, all servers
-    // slow, a shrunk fleet, tries let in unmetered. It may hurt when a slow few of the servers raise the
-    // mean.
+    // slow, a shrunk fleet, tries let in unmetered. May hurt when a few slow servers raise the mean.
     private void adapt(double took, double out) {
         fleetLatency += SLOW_GAIN * (took - fleetLatency);
         meanOut += SLOW_GAIN * (out - meanOut);
@@ -658,7 +647,7 @@
             double fade = Math.exp(-(now - s.heardAt) / FADE);
             known = s.latency * fade + fleetLatency * (1 - fade);
         }
-        double waited = s.sentAt.isEmpty() ? 0 : (now - s.sentAt.firstKey()) / longestAim;
+        double waited = s.sentAt.isEmpty() ? 0 : (double) (now - s.sentAt.firstKey()) / longestAim;
         return Math.max(1e-3, Math.max(known, waited));
     }
 
