--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -43,7 +43,7 @@
     private static final double LEAST_OUT = 4;
     /** While this share of the room is used it grows by that share an answer: twice in 35 answers. */
     private static final double NEAR_FULL = 0.7, GROWTH = 0.02;
-    private static final double HOLD = 0.3; // Longest hold, of the aim: a standing queue only makes all late.
+    private static final double HOLD = 0.15; // Longest hold, of the aim: a standing queue only makes all late.
     private static final int FAILURES = 3; // Failures in a row that take a server out.
     /** First time out for an ejected server, and the longest; it doubles each time. */
     private static final long FIRST_EJECTION = 1_000_000, LONGEST_EJECTION = 16_000_000;
@@ -562,7 +562,7 @@
 
     private void enqueue(Held q) {
         long room = q.aimAt - q.arrived;
-        q.startBy = q.arrived + (long) Math.max(room / 5, Math.min(HOLD * room, room - q.type.latency));
+        q.startBy = q.arrived + (long) (HOLD * room);
         if (now > q.startBy) {
             refuse(q, (long) q.type.latency);
             return;
