--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -329,7 +329,7 @@
     // against a counter jammed by tries without hope, whatever makes it slow. It may hurt for up to a window
     // after peers took back adds, or after sends beyond the quota were counted.
     private boolean proven(Kind kind, Pair pair, double units) {
-        if (kind != Kind.RATE) { return pair.previous.sent + pair.current.sent >= pair.limit; }
+        if (kind != Kind.RATE) { return ownUse(kind, pair) >= pair.limit; }
         double previous = Math.max(pair.previous.total, pair.previous.sent);
         double current = Math.max(pair.current.total, pair.current.sent);
         return pair.levelBound(now) < units && pair.estimate(previous, current, now) >= pair.limit;
@@ -338,8 +338,12 @@
     // While the counter is silent all is let in, but not what one customer sends through this gatekeeper
     // alone far beyond its whole quota. Guards the servers against a surge or a loop that meets an outage.
     private boolean runaway(Kind kind, Pair pair) {
-        return kind == Kind.RATE
-                && pair.estimate(pair.previous.sent, pair.current.sent, now) >= RUNAWAY * pair.limit;
+        return kind == Kind.RATE && ownUse(kind, pair) >= RUNAWAY * pair.limit;
+    }
+
+    private double ownUse(Kind kind, Pair pair) {
+        double before = pair.previous.sent, current = pair.current.sent;
+        return kind == Kind.OPEN ? before + current : pair.estimate(before, current, now);
     }
 
     private void readPrevious(Held q, Pair pair, Kind kind) {
@@ -468,7 +472,7 @@
     private void decide(Held q) {
         Kind over = null;
         for (Map.Entry<Kind, Share> each : q.shares.entrySet()) {
-            if (over(each.getKey(), each.getValue())) { over = each.getKey(); }
+            if (over(each.getKey(), each.getValue(), q)) { over = each.getKey(); }
         }
         if (over == null) {
             q.shares.forEach(this::addLate);
@@ -490,9 +494,13 @@
         return kind == Kind.OPEN ? (long) q.type.latency : pair.window - now % pair.window;
     }
 
-    private boolean over(Kind kind, Share share) {
-        if (Double.isNaN(share.before)) { return false; }
+    private boolean over(Kind kind, Share share, Held q) {
         Pair pair = share.pair;
+        // A counter that is crowded but not silent: what it turns away may use this gatekeeper's part of the
+        // quota. Guards against grants to all whom a jam leaves unanswered; may hurt where traffic is uneven.
+        if (Double.isNaN(share.before)) {
+            return crowd > CROWDED && !silent() && ownUse(kind, pair) * q.request.spread() >= pair.limit;
+        }
         double previous = share.tally == pair.current ? pair.previous.total : pair.current.total;
         return switch (kind) {
             case RATE -> pair.estimate(previous, share.before, now) >= pair.limit && !storeHolds(share);
@@ -734,7 +742,6 @@
             }
             // A full server is as good as one that answers late.
             case SHED -> adapt(1, t.outBefore);
-            default -> { }
         }
     }
 
@@ -876,7 +883,6 @@
             }
             case "check" -> check(q);
             case "end" -> end(q);
-            default -> { }
         }
     }
 
