--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -43,7 +43,7 @@
     private static final double LEAST_OUT = 4;
     /** While this share of the room is used it grows by that share an answer: twice in 35 answers. */
     private static final double NEAR_FULL = 0.7, GROWTH = 0.02;
-    private static final double HOLD = 0.15; // Longest hold, of the aim: a standing queue only makes all late.
+    private static final double HOLD = 0.15; // Longest hold, of the aim: a standing queue makes all late.
     private static final int FAILURES = 3; // Failures in a row that take a server out.
     /** First time out for an ejected server, and the longest; it doubles each time. */
     private static final long FIRST_EJECTION = 1_000_000, LONGEST_EJECTION = 16_000_000;
@@ -168,7 +168,7 @@
         final Map<Kind, Share> shares = new TreeMap<>();
         final List<Try> tries = new ArrayList<>(1);
         int waiting, out;
-        boolean decided, done, settled, streaming;
+        boolean decided, done, streaming;
         double rank, weight;
         long sequence, startBy;
 
@@ -496,8 +496,8 @@
 
     private boolean over(Kind kind, Share share, Held q) {
         Pair pair = share.pair;
-        // A counter that is crowded but not silent: what it turns away may use this gatekeeper's part of the
-        // quota. Guards against grants to all whom a jam leaves unanswered; may hurt where traffic is uneven.
+        // Unanswered by a crowded, not silent, counter: this gatekeeper's part of the quota is let in. Guards
+        // against grants to all whom a jam leaves unanswered; may hurt where traffic is uneven.
         if (Double.isNaN(share.before)) {
             return crowd > CROWDED && !silent() && ownUse(kind, pair) * q.request.spread() >= pair.limit;
         }
@@ -548,8 +548,7 @@
 
     private void settle(Held q, double units) {
         Share share = q.shares.get(Kind.RATE);
-        if (settings.counter().settled() && units > 0 && !q.settled && share != null && share.counted) {
-            q.settled = true;
+        if (settings.counter().settled() && units > 0 && share != null && share.counted) {
             double difference = units - q.request.units();
             if (difference != 0 && now < (share.tally.number + 2) * share.pair.window) {
                 call(share.pair, share.tally, Kind.RATE, difference, false);
@@ -690,7 +689,6 @@
             if (s.info != null && s.info.startedMicros() != server.startedMicros()) {
                 s.failures = 0;
                 s.latency = Double.NaN;
-                s.ejectedUntil = 0;
             }
             s.info = server;
         }
@@ -726,8 +724,7 @@
         double took = (double) e.tookMicros() / type.info.aimMicros();
         switch (e.result()) {
             case OK, ERROR -> {
-                s.failures = 0;
-                s.ejections = 0;
+                s.failures = s.ejections = 0;
                 hear(s, took);
                 type.latency += SLOW_GAIN / 4 * (e.tookMicros() - type.latency);
                 adapt(took, t.outBefore);
@@ -872,7 +869,7 @@
             case "ask" -> {
                 if (!q.decided) {
                     silences++;
-                    admitUnasked(q);
+                    decide(q);
                 }
             }
             case "hold" -> {
@@ -886,13 +883,7 @@
         }
     }
 
-    private Held find(String id) {
-        try {
-            return held.get(Long.parseLong(id));
-        } catch (NumberFormatException e) {
-            return null;
-        }
-    }
+    private Held find(String id) { return id.matches("[0-9]{1,18}") ? held.get(Long.parseLong(id)) : null; }
 
     private void end(Held q) {
         close(q);
--- a/src/test/java/fawndock/QuotaTest.java
+++ b/src/test/java/fawndock/QuotaTest.java
@@ -135,6 +135,24 @@
         assertEquals(1, only(Refuse.class, refused).size());
     }
 
+    @Test
+    void aCrowdedCounterLeavesEachGatekeeperItsPart() {
+        int sent = 0;
+        for (long id = 1; id <= 12; id++) {
+            String name = one(Count.class, rig.request(id)).name();
+            sent += only(Attempt.class, rig.on(new Counted(name, Result.SHED, 0, 500))).size();
+        }
+        assertEquals(3, sent, "freely while it may be chance, then up to half of the store of four");
+    }
+
+    @Test
+    void aRequestIsNotHeldInAStandingQueue() {
+        Rig none = new Rig(Rig.settings(Rig.ratePlan(0, 0), Repeat.IDEMPOTENT, false, false));
+        none.request(1);
+        none.now += Rig.SECOND / 4;
+        assertEquals(1, only(Refuse.class, none.on(new Wake("hold:1"))).size());
+    }
+
     @Test
     void aSilentCounterIsStillAskedButNotWaitedFor() {
         for (long id = 1; id <= 4; id++) {
--- a/src/test/java/fawndock/ReadmeExampleTest.java
+++ b/src/test/java/fawndock/ReadmeExampleTest.java
@@ -6,6 +6,9 @@
 import fawndock.Gatekeeper.*;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -25,15 +28,19 @@
         long now = 1_000_000;
         gatekeeper.on(now, new Servers(Listing.CACHED,
                 List.of(new Server("server-1", "here", 0, Availability.RUNNING, 1, 0))));
-        List<Action> actions = gatekeeper.on(now, new Request(1, "lookup", "basic", "customer-1",
-                now + 2_000_000, 1, 2, 0, false));
-        for (Action action : actions) {
-            if (action instanceof Count count) {            // ask your counter service, then tell:
-                actions = gatekeeper.on(now + 900, new Counted(count.name(), Result.OK, count.amount(), 900));
+        Deque<Action> todo = new ArrayDeque<>(gatekeeper.on(now, new Request(1, "lookup", "basic",
+                "customer-1", now + 2_000_000, 1, 2, 0, false)));
+        List<Action> others = new ArrayList<>();
+        while (!todo.isEmpty()) {
+            Action action = todo.poll();
+            if (action instanceof Count count) {    // ask your counter service, then tell the total:
+                todo.addAll(gatekeeper.on(now, new Counted(count.name(), Result.OK, count.amount(), 900)));
+            } else {
+                others.add(action);                 // attempts to send, timers to set, answers to give
             }
         }
         // end of example
-        assertEquals("server-1", Rig.one(Attempt.class, actions).server());
+        assertEquals("server-1", Rig.one(Attempt.class, others).server());
         String readme = Files.readString(Path.of("README.md"));
         String source = Files.readString(Path.of("src/test/java/fawndock/ReadmeExampleTest.java"));
         String example = source.substring(source.indexOf("// example\n") + 11, source.indexOf("        // end of"));
