--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -29,8 +29,6 @@
     private static final int SILENT_WAITS = 3;
     /** Share of calls that fail or come late above which the counter is crowded: well above chance losses. */
     private static final double CROWDED = 0.1;
-    /** Whole quotas that one customer may send through one gatekeeper while the counter is silent. */
-    private static final double RUNAWAY = 4;
     /** Weight of a new sample in the slow averages; about the last 20 samples count. */
     private static final double SLOW_GAIN = 0.05;
     /** Weight of a new sample in a server's latency; servers see few requests, so the last 5 count. */
@@ -285,7 +283,7 @@
             if (pair == null) { continue; }
             Share share = new Share(pair, pair.current, kind == Kind.OPEN ? 1 : q.request.units());
             q.shares.put(kind, share);
-            if (silent() ? runaway(kind, pair) : crowd > CROWDED && proven(kind, pair, share.units)) {
+            if (!silent() && crowd > CROWDED && proven(kind, pair, share.units)) {
                 refuse(q, left(kind, pair, q));
                 return;
             }
@@ -335,12 +333,6 @@
         return pair.levelBound(now) < units && pair.estimate(previous, current, now) >= pair.limit;
     }
 
-    // While the counter is silent all is let in, but not what one customer sends through this gatekeeper
-    // alone far beyond its whole quota. Guards the servers against a surge or a loop that meets an outage.
-    private boolean runaway(Kind kind, Pair pair) {
-        return kind == Kind.RATE && ownUse(kind, pair) >= RUNAWAY * pair.limit;
-    }
-
     private double ownUse(Kind kind, Pair pair) {
         double before = pair.previous.sent, current = pair.current.sent;
         return kind == Kind.OPEN ? before + current : pair.estimate(before, current, now);
