--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -41,6 +41,8 @@
     private static final double LEAST_OUT = 4;
     /** While this share of the room is used it grows by that share an answer: twice in 35 answers. */
     private static final double NEAR_FULL = 0.7, GROWTH = 0.02;
+    /** A cold server's part of a warm one's rate, over its warmth: most are warmer than they must be. */
+    private static final double COLD_PART = 1.5;
     private static final double HOLD = 0.15; // Longest hold, of the aim: a standing queue makes all late.
     private static final int FAILURES = 3; // Failures in a row that take a server out.
     /** First time out for an ejected server, and the longest; it doubles each time. */
@@ -706,7 +708,7 @@
         long warm = running().stream().filter(x -> warmth(x) >= 1).count();
         if (warm > 0) { warmRate = warmSent / RATE_TIME / warm; }
         if (warmth < 1) {
-            double rate = Math.max(warmRate, 1 / RATE_TIME) * warmth;
+            double rate = COLD_PART * Math.max(warmRate, 1 / RATE_TIME) * warmth;
             s.coldNext = Math.max(now, s.coldNext) + (long) (weight / rate);
         }
     }
