--- a/src/test/java/fawndock/RulesTest.java
+++ b/src/test/java/fawndock/RulesTest.java
@@ -73,6 +73,22 @@
         one(Refuse.class, late);
     }
 
+    @Test
+    void aKeyedRequestStaysInItsZone() {
+        Gatekeeper.Settings all = Rig.settings(Rig.ratePlan(0, 0), Repeat.DEDUPLICATED, false, false);
+        Gatekeeper.RequestClass c = all.classes().get(0);
+        Rig rig = new Rig(new Gatekeeper.Settings(0, 2, 7, 2_000, "here", false, List.of(new Gatekeeper.RequestClass(
+                c.name(), c.aimMicros(), 0, c.deadlineMicros(), 1, 0, c.repeat(), Gatekeeper.Group.ZONE,
+                c.repeatWindowMicros(), false)), all.plans(), all.limits(), all.rules(), all.counter()), "a");
+        one(Attempt.class, rig.request(1));
+        rig.on(new Servers(Listing.CHANGES, List.of(
+                new Gatekeeper.Server("b", "there", 0, Availability.RUNNING, 1, 0))));
+        List<Action> after = rig.outcome(1, 0, "a", Result.ERROR, false);
+        assertTrue(only(Attempt.class, after).isEmpty(), "b is in another zone");
+        rig.now += Rig.SECOND / 2;
+        one(Fail.class, rig.on(new Wake("hold:1")));
+    }
+
     @Test
     void attemptsAreNeverMoreThanAllowed() {
         Rig rig = rig(Repeat.IDEMPOTENT, "a", "b", "c", "d", "e");
