--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -1,13 +1,6 @@
 package fawndock;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.SplittableRandom;
-import java.util.TreeMap;
-import java.util.TreeSet;
+import java.util.*;
 
 /**
  * The decisions of one gatekeeper; the types it takes and gives are all in Gatekeeper.java.
@@ -15,92 +8,95 @@
  * (server choice, health), is sent (attempts) and is answered before its client gives up (deadlines).
  */
 public final class Logic implements Gatekeeper {
-    /** Names are kept 60 s at most, and a name must outlive two windows. */
-    private static final long LONGEST_WINDOW = 30_000_000;
-    /** A gauge's epoch, in longest deadlines: few requests straddle two epochs, yet leaks lapse soon. */
-    private static final int EPOCH_DEADLINES = 6;
-    /** A counter call is waited for this many usual call times: far out in its tail. */
-    private static final double PATIENCE = 6;
-    /** ... but never for more than this share of the aim, so that the wait alone costs no answer. */
-    private static final double WAIT_OF_AIM = 0.1;
-    // Silences in a row after which the counter is not waited for: one loss is chance, four are an outage.
-    private static final int SILENCES = 4;
-    // ... and longest call times that must have passed since an answer: a crowded counter still gives some.
-    private static final int SILENT_WAITS = 3;
-    /** Share of calls that fail or come late above which the counter is crowded: well above chance losses. */
-    private static final double CROWDED = 0.1;
-    /** Weight of a new sample in the slow averages; about the last 20 samples count. */
-    private static final double SLOW_GAIN = 0.05;
-    /** Weight of a new sample in a server's latency; servers see few requests, so the last 5 count. */
-    private static final double FAST_GAIN = 0.2;
-    /** Mean latency as a share of the aim that a server is kept below: the tail takes the rest. */
-    private static final double LATENCY_TARGET = 0.25;
-    /** Attempts out at one server, of all gatekeepers, to begin with; the latency seen soon moves it. */
-    private static final double FIRST_OUT = 12;
-    /** ... and at the least: about what keeps the cores of a small server at work. */
-    private static final double LEAST_OUT = 4;
-    /** While this share of the room is used it grows by that share an answer: twice in 35 answers. */
-    private static final double NEAR_FULL = 0.7, GROWTH = 0.02;
-    /** A cold server's part of a warm one's rate, over its warmth: most are warmer than they must be. */
-    private static final double COLD_PART = 1.5;
+    private static final long LONGEST_WINDOW = 30_000_000; // Names are kept 60 s: two windows.
+    private static final double WAIT_OF_AIM = 0.1; // Longest wait for the counter: costs no answer by itself.
+    private static final int SILENCES = 6; // Failures in a row after which the counter is not waited for.
+    private static final int SILENT_WAITS = 3; // ... and longest call times without a sign of life.
+    /** Calls are sped up by answers within this share of the longest call time, slowed beyond the second. */
+    private static final double PROMPT = 0.3, TARDY = 0.5;
+    /** Share of tries asked: what a prompt answer adds, what a failure leaves, and the least. */
+    private static final double PACE_STEP = 0.02, PACE_CUT = 0.7, LEAST_PACE = 0.02;
+    private static final double UNPACED = 8; // Gatekeepers that may all ask before the counter is known.
+    private static final int LEVELS = 6; // Levels of local demand, each twice the one below.
+    /** How risk rises with them, and for repeats, before any try was asked. */
+    private static final double FIRST_RISK = 0.1, LEVEL_RISK = 0.13, REPEAT_RISK = 0.3, MOST_RISK = 0.9;
+    /** Samples that these first guesses stand for, and windows over which local demand is taken. */
+    private static final double PRIOR_SAMPLES = 4, DEMAND_WINDOWS = 3;
+    private static final double RISK_GAIN = 0.3, RISK_WINDOWS = 4; // A customer's risk: its last tries.
+    private static final double MOST_STAND_IN = 0.5; // Most of a limit that one asked try counts for.
+    private static final double LOST = 0.5; // What a count must lack of own adds before they are put back.
+    private static final double OWED_DELAY = 0.06, OWED_DELAY_CROWDED = 0.3; // Of a window, then sent alone.
+    private static final double SLOW_GAIN = 0.05; // Weight of a new sample: about the last 20 count.
+    private static final double FAST_GAIN = 0.2; // ... in a server's latency: it is seen seldom.
+    private static final double LATENCY_TARGET = 0.25; // Mean latency, of the aim: the tail takes the rest.
+    private static final double FIRST_OUT = 12; // Attempts out at a server, of all gatekeepers, at first.
+    private static final double LEAST_OUT = 4; // ... and at the least: keeps a small server's cores at work.
+    private static final double NEAR_FULL = 0.7, GROWTH = 0.02; // Used so far, room grows so much an answer.
+    private static final double COLD_PART = 1.5; // Of an even share times warmth: most are warmer.
     private static final double HOLD = 0.15; // Longest hold, of the aim: a standing queue makes all late.
     private static final int FAILURES = 3; // Failures in a row that take a server out.
-    /** First time out for an ejected server, and the longest; it doubles each time. */
-    private static final long FIRST_EJECTION = 1_000_000, LONGEST_EJECTION = 16_000_000;
-    /** At most this share of the servers is held ejected: when more fail, the cause is not theirs. */
-    private static final double MOST_EJECTED = 0.5;
+    private static final long FIRST_EJECTION = 1_000_000, LONGEST_EJECTION = 16_000_000; // Doubles each time.
+    private static final double MOST_EJECTED = 0.5; // When more servers fail, the cause is not theirs.
     private static final long REPORT_AGE = 2_000_000; // A load report older than this says nothing.
-    /** Latency knowledge of a server that is not used fades with this time, so that it is tried again. */
-    private static final double FADE = 8_000_000;
-    /** Time constant of the send rate that a cold server's part is taken of. */
-    private static final double RATE_TIME = 3_000_000;
-    /** An attempt is looked at again after this share of the aim: a second one still fits. */
-    private static final double CHECK_OF_AIM = 0.4;
-    /** ... and is given up if its server looks this many times slower than the fleet. */
-    private static final double SLOW_SERVER = 2.5;
-    /** Further attempts of work that may have run, per first attempt: bounds the load that retries add. */
-    private static final double RETRY_SHARE = 0.1, RETRY_STORE = 10;
-    /** Rounds before the client gives up in which its answer must be on its way. */
-    private static final int MARGIN_ROUNDS = 2;
+    private static final double FADE = 8_000_000; // An unused server's latency is forgotten, and it is tried.
+    private static final int CANDIDATES = 16; // Servers looked at for a send.
+    private static final double CHECK_OF_AIM = 0.4; // An attempt is looked at then: a second one still fits.
+    private static final double SLOW_SERVER = 2.5; // ... and given up if so much slower than the fleet.
+    private static final double RETRY_SHARE = 0.1, RETRY_STORE = 10; // Further attempts for each first one.
+    private static final int MARGIN_ROUNDS = 2; // Rounds before the client gives up in which it is answered.
 
     private enum Kind { RATE, OPEN, CEILING }
 
     /** One named count as this gatekeeper knows it. */
     private static final class Tally {
+        final Pair pair;
         final String name;
         final long number;
-        double total, own, owed, sent;
-        boolean closedRead, restoring;
+        /** The total heard; this gatekeeper's confirmed adds; what it has yet to add; what it sent on. */
+        double total, added, owed, sent;
+        boolean closedRead, waking;
         Call reading;
 
-        Tally(String name, long number) {
-            this.name = name;
+        Tally(Pair pair, long number) {
+            this.pair = pair;
+            this.name = pair.prefix + Long.toString(number, Character.MAX_RADIX);
             this.number = number;
         }
+
+        boolean lapsed(long now) { return now >= (number + 2) * pair.window; }
     }
 
     /** The pair of counts of one customer for one purpose. */
     private static final class Pair {
+        final Kind kind;
         final String prefix;
         final long window;
         final double limit;
         Tally current, previous;
+        /** The share of this customer's asked tries that were over, of late. */
+        double risk = Double.NaN, demand;
+        long riskAt, demandAt;
         /** The customer's store as replayed from the totals heard, and how far into each count that goes. */
         double level = Double.NaN, levelCurrent, levelPrevious;
         long levelAt;
 
-        Pair(String prefix, long window, double limit) {
+        Pair(Kind kind, String prefix, long window, double limit) {
+            this.kind = kind;
             this.prefix = prefix;
             this.window = window;
             this.limit = limit;
         }
 
-        void roll(long now) {
+        void roll(long now, Map<String, Tally> tallies) {
             long number = now / window;
             if (current != null && current.number == number) { return; }
             boolean next = current != null && current.number == number - 1;
-            previous = next ? current : tally(number - 1);
-            current = tally(number);
+            if (previous != null) { tallies.remove(previous.name); }
+            if (current != null && !next) { tallies.remove(current.name); }
+            previous = next ? current : new Tally(this, number - 1);
+            current = new Tally(this, number);
+            tallies.put(previous.name, previous);
+            tallies.put(current.name, current);
             level = next ? level : Double.NaN;
             levelAt = next ? levelAt : now;
             levelPrevious = levelCurrent;
@@ -128,34 +124,25 @@
         double levelBound(long now) {
             return Double.isNaN(level) ? 0 : Math.min(limit, level + limit * (now - levelAt) / window);
         }
-
-        private Tally tally(long number) {
-            return new Tally(prefix + Long.toString(number, Character.MAX_RADIX), number);
-        }
     }
 
     /** A call to the counter that is out. */
-    private record Call(Pair pair, Tally tally, Kind kind, double amount, boolean restores,
-                        List<Held> waiters) { }
+    private record Call(Tally tally, double amount, double units, List<Held> waiters) { }
 
     /** What was added for a request to one count, and the total found before it. */
     private static final class Share {
         final Pair pair;
         final Tally tally;
         final double units;
-        double before = Double.NaN;
-        boolean counted, sent;
+        /** How high this gatekeeper's own demand for the customer is, and the total found before this try. */
+        int level;
+        double before = Double.NaN, counted;
 
         Share(Pair pair, Tally tally, double units) {
             this.pair = pair;
             this.tally = tally;
             this.units = units;
         }
-
-        void send() {
-            sent = true;
-            tally.sent += units;
-        }
     }
 
     /** A request that this gatekeeper holds. */
@@ -163,14 +150,13 @@
         final Request request;
         final ClassState type;
         final Plan plan;
-        final long arrived;
-        final long aimAt;
+        final long arrived, aimAt;
         final Map<Kind, Share> shares = new TreeMap<>();
         final List<Try> tries = new ArrayList<>(1);
-        int waiting, out;
+        int waiting, out, draw;
         boolean decided, done, streaming;
-        double rank, weight;
-        long sequence, startBy;
+        double rank, weight, luck;
+        long startBy;
 
         Held(Request request, ClassState type, Plan plan, long now) {
             this.request = request;
@@ -200,8 +186,7 @@
     /** What has been learned of a class. */
     private static final class ClassState {
         final RequestClass info;
-        double latency;
-        double units = 1;
+        double latency, units = 1;
 
         ClassState(RequestClass info) {
             this.info = info;
@@ -212,10 +197,10 @@
     /** What has been learned of a server. */
     private static final class ServerState {
         Server info;
-        double latency = Double.NaN;
-        double out, reported;
+        boolean running;
+        double latency = Double.NaN, out, reported;
         int failures, ejections;
-        long heardAt, ejectedUntil, coldNext, reportedAt = Long.MIN_VALUE / 2;
+        long heardAt, ejectedUntil, reportedAt = Long.MIN_VALUE / 2;
         final TreeMap<Long, Integer> sentAt = new TreeMap<>();
     }
 
@@ -225,16 +210,20 @@
     private final Map<String, Plan> plans = new LinkedHashMap<>();
     private final TreeMap<String, ServerState> servers = new TreeMap<>();
     private final Map<String, Pair> pairs = new LinkedHashMap<>();
+    private final Map<String, Tally> tallies = new LinkedHashMap<>();
+    private final double[][] risk = new double[2][LEVELS], samples = new double[2][LEVELS];
     private final Map<String, ArrayDeque<Call>> calls = new LinkedHashMap<>();
     private final Map<Long, Held> held = new LinkedHashMap<>();
     private final TreeSet<Held> queue = new TreeSet<>((a, b) -> a.rank != b.rank
-            ? Double.compare(b.rank, a.rank) : Long.compare(a.sequence, b.sequence));
+            ? Double.compare(b.rank, a.rank) : a.arrived != b.arrived ? Long.compare(a.arrived, b.arrived)
+            : Long.compare(a.request.id(), b.request.id()));
+    private List<ServerState> running = List.of();
     private final long longestDeadline, longestAim;
     private List<Action> actions = new ArrayList<>();
-    private long now, sequence;
+    private long now, heardAt;
     private int silences;
-    private long heardAt, warmAt;
-    private double callTime, crowd, fleetOut, meanOut, room, warmSent, warmRate;
+    private boolean ramping = true;
+    private double pace, fleetOut, meanOut, room;
     private double retries = RETRY_STORE, fleetLatency = LATENCY_TARGET / 2;
 
     /** Makes the decisions of one gatekeeper. */
@@ -246,7 +235,11 @@
         List<RequestClass> types = settings.classes();
         longestDeadline = types.stream().mapToLong(RequestClass::deadlineMicros).max().orElse(1_000_000);
         longestAim = types.stream().mapToLong(RequestClass::aimMicros).max().orElse(1_000_000);
-        callTime = settings.counter().waitMicros() / PATIENCE;
+        for (int i = 0; i < 2 * LEVELS; i++) {
+            risk[i / LEVELS][i % LEVELS] = Math.min(MOST_RISK,
+                    FIRST_RISK + LEVEL_RISK * (i % LEVELS) + REPEAT_RISK * (i / LEVELS));
+        }
+        pace = Math.min(1, UNPACED / Math.max(1, settings.gatekeepers()));
     }
 
     @Override
@@ -260,7 +253,7 @@
         if (event instanceof Servers e) { list(e); }
         if (event instanceof Gone e) { gone(e); }
         if (event instanceof Started e) { started(e); }
-        pump();
+        dispatch();
         return actions;
     }
 
@@ -278,84 +271,131 @@
         ask(q);
     }
 
-    // Asks the counter for each kind of quota; adds the request's units, or only reads where that is enough.
+    // Asks the counter for each kind of quota. A crowded counter is not asked about what is proven over, and
+    // about the rest by chance.
     private void ask(Held q) {
         for (Kind kind : settings.counter().present() ? Kind.values() : new Kind[0]) {
             Pair pair = pair(q, kind);
             if (pair == null) { continue; }
             Share share = new Share(pair, pair.current, kind == Kind.OPEN ? 1 : q.request.units());
             q.shares.put(kind, share);
-            if (!silent() && crowd > CROWDED && proven(kind, pair, share.units)) {
-                refuse(q, left(kind, pair, q));
+            share.level = demand(share, q);
+            if (crowded() && !silent() && proven(share, q)) {
+                refuse(q, left(pair, q));
                 return;
             }
         }
-        q.shares.forEach((kind, share) -> {
-            // A try that is known to be over only reads: most such tries would take their add back again.
-            boolean hopeless = kind == Kind.RATE && !silent() && proven(kind, share.pair, share.units);
-            await(q, call(share.pair, share.tally, kind, hopeless ? 0 : share.units, false));
-            if (kind != Kind.RATE) { readPrevious(q, share.pair, kind); }
-        });
+        double chance = q.shares.containsKey(Kind.CEILING) ? 1 : pace;
+        if (random.nextDouble() < chance) {
+            q.shares.values().forEach(share -> {
+                share.counted = adds(share, q, chance);
+                call(share.tally, share.counted, share.counted).waiters.add(q);
+                q.waiting++;
+                if (share.pair.kind == Kind.CEILING) { readPrevious(q, share.pair); }
+            });
+        }
         if (q.waiting == 0 || silent()) {
-            admitUnasked(q);
+            decide(q);
         } else {
-            wakeAt(now + counterPatience(q), "ask:", q);
+            long most = (long) (WAIT_OF_AIM * q.type.info.aimMicros());
+            wakeAt(now + Math.min(settings.counter().waitMicros(), most), "ask:", q);
         }
     }
 
-    // Lets a request in without the counter's word; only a ceiling is held then, by this gatekeeper's share
-    // of its rate. Guards the ceiling's rule under any loss of the counter; refuses what peers leave unused.
-    private void admitUnasked(Held q) {
-        Share share = q.shares.get(Kind.CEILING);
-        if (share == null || !Double.isNaN(share.before)) { admit(q); return; }
-        Pair pair = share.pair;
-        double part = Math.max(1, q.request.spread());
-        pair.level = Math.min(pair.limit / part, (Double.isNaN(pair.level) ? 0 : pair.level)
-                + pair.limit * (now - Math.max(pair.levelAt, heardAt)) / pair.window / part);
-        pair.levelAt = now;
-        if (pair.level < share.units) { refuse(q, pair.window); return; }
-        pair.level -= share.units;
-        admit(q);
+    // What a call for a try adds. A likely refusal only reads: most would take their add back again. A try
+    // that would go on unasked stands for those like it: asked one time in n, it counts for n of them, within
+    // reason, so that the count stays right in the mean at any pace.
+    private double adds(Share share, Held q, double chance) {
+        if (share.pair.kind == Kind.CEILING || silent()) { return share.units; }
+        if (proven(share, q) || risk(share, q) * (1 + overLoss(q)) > 1) { return 0; }
+        return Math.min(share.units / chance, Math.max(share.units, share.pair.limit * MOST_STAND_IN));
     }
 
-    /** Nothing has come from the counter for several calls and long enough that it is not just crowded. */
+    /** Calls are held back: the counter turned some away, or answered late. */
+    private boolean crowded() { return pace < 1; }
+
+    /** No sign of life from the counter for several calls and long enough that it is not just crowded. */
     private boolean silent() {
         return silences >= SILENCES && now - heardAt > SILENT_WAITS * settings.counter().waitMicros();
     }
 
+    // Client-side adaptive throttling: the share of tries asked grows with prompt answers and is cut by late
+    // or missing ones. Guards against a counter jammed by calls that it cannot take, whatever makes it slow
+    // or the calls many. It may hurt where chance failures are common: fewer tries are asked than could be.
+    private void regulate(Counted e) {
+        double took = (double) e.tookMicros() / Math.max(1, settings.counter().waitMicros());
+        if (e.result() != Result.OK || took > TARDY) {
+            ramping = false;
+            pace = Math.max(LEAST_PACE, pace * PACE_CUT);
+        } else if (took <= PROMPT) {
+            pace = Math.min(1, pace + (ramping ? pace : PACE_STEP));
+        }
+        if (e.result() == Result.OK || e.result() == Result.SHED) {
+            silences = 0;
+            heardAt = now;
+        } else if (++silences >= SILENCES) {
+            ramping = true;
+        }
+    }
 
     // Whether totals heard, or this gatekeeper's own sends, prove the quota used up: counts only grow within
-    // a window, so the answer is known. While the counter is crowded such a try is refused unasked. Guards
-    // against a counter jammed by tries without hope, whatever makes it slow. It may hurt for up to a window
-    // after peers took back adds, or after sends beyond the quota were counted.
-    private boolean proven(Kind kind, Pair pair, double units) {
-        if (kind != Kind.RATE) { return ownUse(kind, pair) >= pair.limit; }
+    // a window, so the answer is known. It may hurt for up to a window after peers took back adds.
+    private boolean proven(Share share, Held q) {
+        Pair pair = share.pair;
         double previous = Math.max(pair.previous.total, pair.previous.sent);
         double current = Math.max(pair.current.total, pair.current.sent);
-        return pair.levelBound(now) < units && pair.estimate(previous, current, now) >= pair.limit;
+        return switch (pair.kind) {
+            case RATE -> pair.levelBound(now) < share.units
+                    && pair.estimate(previous, current, now) >= pair.limit;
+            case OPEN -> current >= openLimit(pair, q);
+            case CEILING -> pair.estimate(pair.previous.sent, pair.current.sent, now) >= pair.limit;
+        };
     }
 
-    private double ownUse(Kind kind, Pair pair) {
-        double before = pair.previous.sent, current = pair.current.sent;
-        return kind == Kind.OPEN ? before + current : pair.estimate(before, current, now);
+    // A cap on open attempts is held as a rate (Little's law): as many may start in a mean attempt's time as
+    // may be out, less the spread of what is out by chance. One call a try, and nothing to leak.
+    private double openLimit(Pair pair, Held q) {
+        double cap = pair.limit * (1 - 1 / Math.sqrt(pair.limit + 1));
+        return Math.max(1, cap) * Math.max(1, now % pair.window / q.type.latency);
     }
 
-    private void readPrevious(Held q, Pair pair, Kind kind) {
-        Tally previous = pair.previous;
-        if (!previous.closedRead) {
-            if (previous.reading == null) { previous.reading = call(pair, previous, kind, 0, false); }
-            await(q, previous.reading);
-        }
+    /** Notes a try; returns how high this gatekeeper's demand for its customer was, against an even part. */
+    private int demand(Share share, Held q) {
+        Pair pair = share.pair;
+        double limit = pair.limit * (pair.kind == Kind.OPEN ? pair.window / q.type.latency : 1);
+        double known = pair.demand * Math.exp(-(now - pair.demandAt) / (DEMAND_WINDOWS * pair.window));
+        pair.demand = known + share.units;
+        pair.demandAt = now;
+        double part = known * q.request.spread() / (limit * DEMAND_WINDOWS);
+        return (int) Math.max(0, Math.min(LEVELS - 1, 3 + Math.floor(Math.log(part) / Math.log(2))));
     }
 
-    private void await(Held q, Call call) {
-        call.waiters.add(q);
-        q.waiting++;
+    /** The chance that a try is beyond its quota: of tries at such demand, and of its customer's of late. */
+    private double risk(Share share, Held q) {
+        double general = risk[q.request.repeat() ? 1 : 0][share.level];
+        double fade = Math.exp(-(now - share.pair.riskAt) / (RISK_WINDOWS * share.pair.window));
+        return Double.isNaN(share.pair.risk) ? general : general + (share.pair.risk - general) * fade;
     }
 
-    private long counterPatience(Held q) {
-        long most = Math.min(settings.counter().waitMicros(), (long) (WAIT_OF_AIM * q.type.info.aimMicros()));
-        return Math.min(most, (long) (PATIENCE * callTime) + settings.roundMicros());
+    private void learnRisk(Share share, Held q, boolean over) {
+        int repeat = q.request.repeat() ? 1 : 0;
+        double known = risk(share, q);
+        share.pair.risk = known + RISK_GAIN * ((over ? 1 : 0) - known);
+        share.pair.riskAt = now;
+        double gain = Math.max(SLOW_GAIN, 1 / (PRIOR_SAMPLES + ++samples[repeat][share.level]));
+        risk[repeat][share.level] += gain * ((over ? 1 : 0) - risk[repeat][share.level]);
+    }
+
+    /** What sending a try beyond its quota loses, over what sending one inside it earns. */
+    private static double overLoss(Held q) { return Math.max(0, q.plan.overCost() - q.plan.overWorth()); }
+
+    private void readPrevious(Held q, Pair pair) {
+        Tally previous = pair.previous;
+        if (!previous.closedRead) {
+            if (previous.reading == null) { previous.reading = call(previous, 0, 0); }
+            previous.reading.waiters.add(q);
+            q.waiting++;
+        }
     }
 
     /** The pair of counts that holds this customer's quota of the kind, or null where its plan has none. */
@@ -369,25 +409,25 @@
         if (none) { return null; }
         String prefix = "roc".charAt(kind.ordinal()) + q.request.customer() + ".";
         Pair pair = pairs.computeIfAbsent(prefix, p -> switch (kind) {
-            case RATE -> pair(p, plan.storeSize(), plan.rate());
-            case CEILING -> pair(p, plan.ceilingBurst(), plan.ceilingRate());
-            case OPEN -> new Pair(p, Math.min(LONGEST_WINDOW, EPOCH_DEADLINES * longestDeadline),
-                    plan.concurrency());
+            case RATE -> pair(kind, p, plan.storeSize(), plan.rate());
+            case CEILING -> pair(kind, p, plan.ceilingBurst(), plan.ceilingRate());
+            case OPEN -> new Pair(kind, p, Math.min(LONGEST_WINDOW, longestAim), plan.concurrency());
         });
-        pair.roll(now);
+        pair.roll(now, tallies);
         return pair;
     }
 
-    private static Pair pair(String prefix, double store, double rate) {
+    private static Pair pair(Kind kind, String prefix, double store, double rate) {
         double seconds = Math.min(LONGEST_WINDOW / 1e6, store > 0 ? store / rate : 1);
-        return new Pair(prefix, Math.max(1, (long) (seconds * 1e6)), rate * seconds);
+        return new Pair(kind, prefix, Math.max(1, (long) (seconds * 1e6)), rate * seconds);
     }
 
-    private Call call(Pair pair, Tally tally, Kind kind, double amount, boolean restores) {
-        Call call = new Call(pair, tally, kind, amount + tally.owed, restores, new ArrayList<>(1));
+    /** Adds to a count, with all that is owed to it. */
+    private Call call(Tally tally, double amount, double units) {
+        Call call = new Call(tally, amount + tally.owed, units, new ArrayList<>(1));
         tally.owed = 0;
         calls.computeIfAbsent(tally.name, n -> new ArrayDeque<>(2)).add(call);
-        actions.add(new Count(tally.name, call.amount, 2 * pair.window));
+        actions.add(new Count(tally.name, call.amount, 2 * tally.pair.window));
         return call;
     }
 
@@ -398,62 +438,66 @@
         if (line.isEmpty()) { calls.remove(e.name()); }
         Tally tally = call.tally;
         boolean reading = tally.reading == call;
-        boolean late = e.result() != Result.OK || e.tookMicros() > settings.counter().waitMicros() / 2;
-        crowd += SLOW_GAIN * ((late ? 1 : 0) - crowd);
+        regulate(e);
         if (reading) { tally.reading = null; }
-        if (e.result() == Result.OK) {
-            silences = 0;
-            heardAt = now;
-            callTime += SLOW_GAIN * (e.tookMicros() - callTime);
+        boolean ok = e.result() == Result.OK && Double.isFinite(e.total());
+        if (ok) {
             tally.closedRead |= reading;
             learn(call, e.total());
-        } else {
-            silences++;
-            // An add that surely failed is carried to the next call; one that may have been added is not.
-            if (!e.result().mayHaveRun) { tally.owed += call.amount; }
-            tally.restoring &= !call.restores;
+        } else if (!e.result().mayHaveRun) {
+            owe(tally, call.amount); // Surely not added: it goes with a later call.
         }
         for (Held q : call.waiters) {
-            Share share = q.shares.get(call.kind);
-            if (e.result() == Result.OK && share.tally == tally && Double.isNaN(share.before)) {
-                share.before = tally.total - call.amount;
-                share.counted = call.amount > 0;
-                if (call.kind == Kind.RATE && tally == call.pair.current && !Double.isNaN(call.pair.level)) {
-                    call.pair.replay(share.before, now);
+            Share share = q.shares.get(tally.pair.kind);
+            if (ok && share.tally == tally && Double.isNaN(share.before)) {
+                share.before = tally.total - call.units;
+                Pair pair = tally.pair;
+                if (pair.kind == Kind.RATE && tally == pair.current && !Double.isNaN(pair.level)) {
+                    pair.replay(share.before, now);
                 }
             }
             answered(q);
         }
     }
 
-    /** Takes in a total, and puts this gatekeeper's own part back when the counter has lost it. */
+    // Takes in a total. Guards against a flush, an emptied or a moved counter: what is missing of this
+    // gatekeeper's own adds is put back. May hurt if a peer withdraws more than it added; none does.
     private void learn(Call call, double total) {
         Tally tally = call.tally;
-        tally.total = total;
-        if (call.restores) {
-            tally.restoring = false;
-            return;
+        tally.added += call.amount;
+        double lost = Math.min(tally.added, tally.added - total);
+        if (lost > LOST) {
+            tally.added -= lost;
+            tally.owed += lost;
+            call(tally, 0, 0);
         }
-        tally.own += call.amount;
-        // Guards against a flush, an emptied or a moved counter: a count below what this gatekeeper alone has
-        // added is lost. It may hurt when a peer withdraws more than it added, which no peer does.
-        double lost = tally.own - total;
-        if (lost > 0.5 && !tally.restoring) {
-            tally.restoring = true;
-            call(call.pair, tally, call.kind, lost, true);
+        tally.total = total + Math.max(0, lost);
+    }
+
+    /** Notes what is to be added to a count; it goes with the name's next call, or alone after a while. */
+    private void owe(Tally tally, double units) {
+        tally.owed += units;
+        if (tally.owed == 0 || tally.waking || tally.lapsed(now)) { return; }
+        tally.waking = true;
+        double share = (crowded() ? OWED_DELAY_CROWDED : OWED_DELAY) * (1 + random.nextDouble());
+        actions.add(new WakeAfter(Math.max(1, (long) (share * tally.pair.window)), "owed:" + tally.name));
+    }
+
+    private void payOwed(String name) {
+        Tally tally = tallies.get(name);
+        if (tally == null) { return; }
+        tally.waking = false;
+        if (tally.owed != 0 && !tally.lapsed(now) && (!crowded() || random.nextDouble() < pace)) {
+            call(tally, 0, 0);
         }
-        tally.total = Math.max(total, tally.own);
     }
 
     private void answered(Held q) {
         q.waiting--;
-        if (q.waiting == 0 && !q.decided) {
-            Share rate = q.shares.get(Kind.RATE);
-            if (rate != null && mayDecide(rate)) { readPrevious(q, rate.pair, Kind.RATE); }
-            if (q.waiting == 0) { decide(q); }
-        } else if (q.done && q.out == 0) {
-            release(q);
-        }
+        if (q.waiting > 0 || q.decided) { return; }
+        Share rate = q.shares.get(Kind.RATE);
+        if (rate != null && !crowded() && mayDecide(rate)) { readPrevious(q, rate.pair); }
+        if (q.waiting == 0) { decide(q); }
     }
 
     /** Whether the window before can tip the estimate: it holds the limit and a refilled store at most. */
@@ -464,43 +508,62 @@
     }
 
     private void decide(Held q) {
-        Kind over = null;
-        for (Map.Entry<Kind, Share> each : q.shares.entrySet()) {
-            if (over(each.getKey(), each.getValue(), q)) { over = each.getKey(); }
+        Share over = null;
+        for (Share share : q.shares.values()) {
+            if (over(share, q)) { over = share; }
         }
         if (over == null) {
-            q.shares.forEach(this::addLate);
-            admitUnasked(q);
-            return;
+            q.shares.values().forEach(this::count);
+            admit(q);
+        } else {
+            refuse(q, left(over.pair, q));
         }
-        refuse(q, left(over, q.shares.get(over).pair, q));
     }
 
-    /** A try that only read, and proved to have room after all, adds its units now. */
-    private void addLate(Kind kind, Share share) {
-        if (!share.counted && !Double.isNaN(share.before)) {
-            share.counted = true;
-            call(share.pair, share.tally, kind, share.units, false);
+    /** Counts a try that goes on and only read; one let in unasked is owed, or stood for by those asked. */
+    private void count(Share share) {
+        if (share.counted > 0) { return; }
+        if (!Double.isNaN(share.before)) {
+            share.counted = share.units;
+            call(share.tally, share.units, 0);
+        } else if (!crowded()) {
+            share.counted = share.units;
+            owe(share.tally, share.units);
         }
     }
 
-    private long left(Kind kind, Pair pair, Held q) {
-        return kind == Kind.OPEN ? (long) q.type.latency : pair.window - now % pair.window;
+    private long left(Pair pair, Held q) {
+        return pair.kind == Kind.OPEN ? (long) q.type.latency : pair.window - now % pair.window;
     }
 
-    private boolean over(Kind kind, Share share, Held q) {
+    private boolean over(Share share, Held q) {
         Pair pair = share.pair;
-        // Unanswered by a crowded, not silent, counter: this gatekeeper's part of the quota is let in. Guards
-        // against grants to all whom a jam leaves unanswered; may hurt where traffic is uneven.
-        if (Double.isNaN(share.before)) {
-            return crowd > CROWDED && !silent() && ownUse(kind, pair) * q.request.spread() >= pair.limit;
-        }
+        if (Double.isNaN(share.before)) { return unasked(share, q); }
         double previous = share.tally == pair.current ? pair.previous.total : pair.current.total;
-        return switch (kind) {
+        boolean over = switch (pair.kind) {
             case RATE -> pair.estimate(previous, share.before, now) >= pair.limit && !storeHolds(share);
-            case OPEN -> Math.max(0, previous) + Math.max(0, share.before) >= pair.limit;
+            case OPEN -> share.before >= openLimit(pair, q);
             case CEILING -> previous + share.before + share.units > pair.limit;
         };
+        learnRisk(share, q, over);
+        return over;
+    }
+
+    // Whether to refuse without the counter's word. A silent counter, or one that failed by chance, lets in;
+    // a crowded one if that earns more in the mean than it costs. A ceiling is held by this gatekeeper's part
+    // of its rate: guards its rule under any loss of the counter, and refuses what peers leave unused.
+    private boolean unasked(Share share, Held q) {
+        Pair pair = share.pair;
+        if (pair.kind != Kind.CEILING) {
+            return crowded() && !silent() && risk(share, q) * (1 + overLoss(q)) > 1;
+        }
+        double part = Math.max(1, q.request.spread());
+        pair.level = Math.min(pair.limit / part, (Double.isNaN(pair.level) ? 0 : pair.level)
+                + pair.limit * (now - Math.max(pair.levelAt, heardAt)) / pair.window / part);
+        pair.levelAt = now;
+        boolean full = pair.level < share.units;
+        pair.level -= full ? 0 : share.units;
+        return full;
     }
 
     // Whether the store would grant what the estimate refuses: after a burst the estimate stays at the limit
@@ -521,32 +584,21 @@
         return Math.max(0, previous) * (window - elapsed) / window + current;
     }
 
-    // Takes back all that was added for a request that was not sent on, or its open attempt once that ended.
+    /** Takes back what was added for a request that was never sent on. */
     private void release(Held q) {
-        q.shares.forEach((kind, share) -> {
-            if (kind == Kind.OPEN || q.tries.isEmpty()) { giveBack(kind, share); }
-            if (kind == Kind.OPEN && share.sent) {
-                share.sent = false;
-                share.tally.sent -= share.units;
+        for (Share share : q.tries.isEmpty() ? q.shares.values() : List.<Share>of()) {
+            if (share.counted > 0) {
+                share.tally.total -= share.counted;
+                owe(share.tally, -share.counted);
+                share.counted = 0;
             }
-        });
-    }
-
-    private void giveBack(Kind kind, Share share) {
-        if (share.counted && now < (share.tally.number + 2) * share.pair.window) {
-            share.counted = false;
-            share.tally.total -= share.units;
-            call(share.pair, share.tally, kind, -share.units, false);
         }
     }
 
     private void settle(Held q, double units) {
         Share share = q.shares.get(Kind.RATE);
-        if (settings.counter().settled() && units > 0 && share != null && share.counted) {
-            double difference = units - q.request.units();
-            if (difference != 0 && now < (share.tally.number + 2) * share.pair.window) {
-                call(share.pair, share.tally, Kind.RATE, difference, false);
-            }
+        if (settings.counter().settled() && units > 0 && share != null && share.counted > 0) {
+            owe(share.tally, units - q.request.units());
         }
     }
 
@@ -554,7 +606,6 @@
 
     private void admit(Held q) {
         q.decided = true;
-        q.sequence = sequence++;
         q.type.units += SLOW_GAIN * (q.request.units() - q.type.units);
         q.weight = Math.max(0.1, q.request.units() / q.type.units);
         q.rank = q.type.info.worth() / q.type.latency;
@@ -564,16 +615,14 @@
     private void enqueue(Held q) {
         long room = q.aimAt - q.arrived;
         q.startBy = q.arrived + (long) (HOLD * room);
-        if (now > q.startBy) {
-            refuse(q, (long) q.type.latency);
-            return;
-        }
+        q.draw = random.nextInt(Integer.MAX_VALUE);
+        q.luck = random.nextDouble();
         queue.add(q);
-        if (q.startBy > now) { wakeAt(q.startBy, "hold:", q); }
+        wakeAt(q.startBy, "hold:", q);
     }
 
     /** Sends what waits while a server has room; a second try bound to some servers is stepped over. */
-    private void pump() {
+    private void dispatch() {
         for (Held q = queue.isEmpty() ? null : queue.first(); q != null; ) {
             ServerState server = choose(q);
             Held next = queue.higher(q);
@@ -586,18 +635,26 @@
         }
     }
 
-    /** The least loaded server that may take this request now, or null. */
+    // The best of some servers, or null. A cold one gets its share of an even spread of all sends at most, by
+    // chance: its load does not depend on how many gatekeepers there are, or on what each knows of it. Guards
+    // against hundreds that each find it idle. May hurt while most servers are cold: little is sent then.
     private ServerState choose(Held q) {
-        List<ServerState> running = running();
-        if (fleetOut + Math.min(1, q.weight) > room(running.size())) { return null; }
+        int count = running.size();
+        if (count == 0 || fleetOut + Math.min(1, q.weight) > room(count)) { return null; }
         // When many look bad the cause is not theirs: then none is left out for its health.
-        long bad = running.stream().filter(s -> s.failures >= FAILURES).count();
-        boolean trust = bad <= MOST_EJECTED * running.size();
+        boolean trust = running.stream().filter(s -> s.failures >= FAILURES).count() <= MOST_EJECTED * count;
+        int start = q.draw % count;
+        ServerState first = running.get(start);
+        if (warmth(first) < 1) {
+            double share = COLD_PART * warmth(first) / Math.max(1, q.weight);
+            if (q.luck < share && mayTake(first, q, trust, count)) { return first; }
+        }
         ServerState best = null;
         double bestScore = Double.MAX_VALUE;
-        for (ServerState s : running) {
+        for (int i = 0; i < Math.min(count, CANDIDATES); i++) {
+            ServerState s = running.get((start + i) % count);
             double score = score(s) * (1 + 0.001 * random.nextDouble());
-            if (score < bestScore && mayTake(s, q, trust, running.size())) {
+            if (score < bestScore && warmth(s) >= 1 && mayTake(s, q, trust, count)) {
                 bestScore = score;
                 best = s;
             }
@@ -605,17 +662,11 @@
         return best;
     }
 
-    private List<ServerState> running() {
-        return servers.values().stream().filter(s -> s.info.availability() == Availability.RUNNING).toList();
-    }
-
     private boolean mayTake(ServerState s, Held q, boolean trust, int count) {
         boolean ejected = trust && s.failures >= FAILURES && (now < s.ejectedUntil || s.out > 0);
         boolean tried = count > 1 && q.tries.stream().anyMatch(t -> t.server == s);
-        boolean cold = warmth(s) < 1 && now < s.coldNext;
         double part = 2 * room(count) / count * Math.min(1, fleetLatency / latency(s));
-        return !ejected && !tried && !cold && groupAllows(s, q)
-                && s.out + Math.min(1, q.weight) <= Math.max(1, part);
+        return !ejected && !tried && groupAllows(s, q) && s.out + Math.min(1, q.weight) <= Math.max(1, part);
     }
 
     // Attempts that may be out in all: never less than keeps the servers at work, whatever the latency says.
@@ -639,7 +690,7 @@
     private double score(ServerState s) {
         double latency = latency(s);
         double others = now - s.reportedAt < REPORT_AGE ? s.reported : 0;
-        return latency * (1 + s.out + others) / warmth(s);
+        return latency * (1 + s.out + others);
     }
 
     /** A server's latency as a share of the aim; long waits for an answer count before it comes. */
@@ -654,11 +705,9 @@
     }
 
     private void report(ServerState s, Map<String, Double> load) {
-        if (s == null || load.isEmpty()) { return; }
-        double queued = load.getOrDefault("queue", 0.0);
-        double inFlight = load.getOrDefault("inFlight", 0.0);
-        double busy = load.getOrDefault("utilization", 0.0);
-        s.reported = 0.5 * Math.max(queued, Math.max(inFlight - s.out, 0)) + busy;
+        if (load.isEmpty()) { return; }
+        double held = Math.max(load.getOrDefault("queue", 0.0), load.getOrDefault("inFlight", 0.0) - s.out);
+        s.reported = 0.5 * Math.max(0, held) + load.getOrDefault("utilization", 0.0);
         s.reportedAt = now;
     }
 
@@ -669,15 +718,7 @@
             actions.add(new WakeAfter(Math.max(1, settings.rules().askWithinMicros() / 8), "watch:"));
             return;
         }
-        if (e.listing() != Listing.CHANGES) {
-            List<String> named = e.servers().stream().map(Server::id).toList();
-            for (ServerState s : servers.values()) {
-                if (!named.contains(s.info.id())) {
-                    s.info = new Server(s.info.id(), s.info.zone(), s.info.cell(), Availability.DELETED,
-                            s.info.weight(), s.info.startedMicros());
-                }
-            }
-        }
+        if (e.listing() != Listing.CHANGES) { servers.values().forEach(s -> s.running = false); }
         for (Server server : e.servers()) {
             ServerState s = servers.computeIfAbsent(server.id(), id -> new ServerState());
             if (s.info != null && s.info.startedMicros() != server.startedMicros()) {
@@ -685,9 +726,11 @@
                 s.latency = Double.NaN;
             }
             s.info = server;
+            s.running = server.availability() == Availability.RUNNING;
         }
         room = room > 0 ? room : servers.size() * Math.max(1, FIRST_OUT / settings.gatekeepers());
-        servers.values().removeIf(s -> s.info.availability() == Availability.DELETED && s.sentAt.isEmpty());
+        servers.values().removeIf(s -> !s.running && s.sentAt.isEmpty());
+        running = servers.values().stream().filter(s -> s.running).toList();
         if (e.listing() == Listing.CACHED && settings.mustAskForServers()) { actions.add(new Watch()); }
     }
 
@@ -699,32 +742,18 @@
         return rules.coldShare() + (1 - rules.coldShare()) * Math.max(0, age) / rules.coldMicros();
     }
 
-    /** Notes a send, and sets when a cold server may have its next: its share of what a warm server gets. */
-    private void pace(ServerState s, double weight) {
-        warmSent *= Math.exp(-(now - warmAt) / RATE_TIME);
-        warmAt = now;
-        double warmth = warmth(s);
-        if (warmth >= 1) { warmSent += weight; }
-        long warm = running().stream().filter(x -> warmth(x) >= 1).count();
-        if (warm > 0) { warmRate = warmSent / RATE_TIME / warm; }
-        if (warmth < 1) {
-            double rate = COLD_PART * Math.max(warmRate, 1 / RATE_TIME) * warmth;
-            s.coldNext = Math.max(now, s.coldNext) + (long) (weight / rate);
-        }
-    }
-
-    private void fare(Try t, Outcome e, ClassState type) {
+    private void judge(Try t, Outcome e, ClassState type) {
         ServerState s = t.server;
         double took = (double) e.tookMicros() / type.info.aimMicros();
         switch (e.result()) {
             case OK, ERROR -> {
                 s.failures = s.ejections = 0;
-                hear(s, took);
+                learn(s, took);
                 type.latency += SLOW_GAIN / 4 * (e.tookMicros() - type.latency);
                 adapt(took, t.outBefore);
             }
             case TIMEOUT, RESET, CONNECT_FAILED -> {
-                hear(s, Math.max(took, s.latency));
+                learn(s, Math.max(took, s.latency));
                 s.failures++;
                 if (s.failures >= FAILURES) {
                     long time = FIRST_EJECTION << Math.min(s.ejections++, 8);
@@ -736,7 +765,7 @@
         }
     }
 
-    private void hear(ServerState s, double took) {
+    private void learn(ServerState s, double took) {
         s.latency = Double.isNaN(s.latency) ? took : s.latency + FAST_GAIN * (took - s.latency);
         s.heardAt = now;
     }
@@ -744,8 +773,7 @@
     // ---- attempts ----
 
     private void send(Held q, ServerState s) {
-        pace(s, q.weight);
-        if (q.tries.isEmpty()) { q.shares.values().forEach(Share::send); }
+        if (q.tries.isEmpty()) { q.shares.values().forEach(share -> share.tally.sent += share.units); }
         fleetOut += q.weight;
         q.tries.add(new Try(s, now, fleetOut));
         q.out++;
@@ -769,13 +797,11 @@
         s.out = Math.max(0, s.out - q.weight);
         fleetOut = Math.max(0, fleetOut - q.weight);
         s.sentAt.computeIfPresent(t.sentAt, (at, n) -> n == 1 ? null : n - 1);
-        fare(t, e, q.type);
+        judge(t, e, q.type);
         report(s, e.load());
         if (e.result() == Result.OK) { settle(q, e.settledUnits()); }
-        if (e.over()) {
-            q.done = true;
-            queue.remove(q);
-        }
+        q.done |= e.over();
+        if (q.done) { queue.remove(q); }
         if (!q.done && q.out == 0) { again(q); }
         forget(q);
     }
@@ -796,18 +822,12 @@
     private boolean mayRepeat(Held q) {
         return switch (q.type.info.repeat()) {
             case IDEMPOTENT -> true;
-            case DEDUPLICATED -> now + 2 * settings.roundMicros() < repeatEnd(q);
+            case DEDUPLICATED -> q.tries.stream().filter(Try::mayHaveRun).findFirst().map(t -> t.sentAt
+                    + q.type.info.repeatWindowMicros() > now + 2 * settings.roundMicros()).orElse(true);
             case AT_MOST_ONCE -> q.tries.stream().noneMatch(Try::mayHaveRun);
         };
     }
 
-    private long repeatEnd(Held q) {
-        for (Try t : q.tries) {
-            if (t.mayHaveRun()) { return t.sentAt + q.type.info.repeatWindowMicros(); }
-        }
-        return Long.MAX_VALUE;
-    }
-
     private boolean groupAllows(ServerState s, Held q) {
         if (q.type.info.repeat() != Repeat.DEDUPLICATED) { return true; }
         if (!mayRepeat(q)) { return false; }
@@ -853,24 +873,17 @@
 
     private void wake(String token) {
         int colon = token.indexOf(':');
-        if (token.equals("watch:")) {
-            actions.add(new Watch());
-            return;
-        }
+        if (token.equals("watch:")) { actions.add(new Watch()); }
+        if (token.startsWith("owed:")) { payOwed(token.substring(colon + 1)); }
         Held q = colon < 0 ? null : find(token.substring(colon + 1));
         if (q == null || q.done || q.streaming) { return; }
         switch (token.substring(0, colon)) {
             case "ask" -> {
-                if (!q.decided) {
-                    silences++;
-                    decide(q);
-                }
+                if (!q.decided) { decide(q); }
             }
             case "hold" -> {
-                if (queue.contains(q) && now >= q.startBy) {
-                    queue.remove(q);
-                    if (q.out == 0) { refuse(q, (long) q.type.latency); }
-                }
+                boolean late = now >= q.startBy && queue.remove(q);
+                if (late && q.out == 0) { refuse(q, (long) q.type.latency); }
             }
             case "check" -> check(q);
             case "end" -> end(q);
@@ -887,29 +900,23 @@
 
     private void refuse(Held q, long waitMicros) {
         close(q);
-        if (mayRefuse(q)) {
-            long seconds = Math.max(1, (waitMicros + 999_999) / 1_000_000);
-            actions.add(new Refuse(q.request.id(), seconds * 1_000_000));
-        } else {
-            actions.add(new Fail(q.request.id()));
-        }
+        long seconds = Math.max(1, (waitMicros + 999_999) / 1_000_000);
+        long id = q.request.id();
+        actions.add(mayRefuse(q) ? new Refuse(id, seconds * 1_000_000) : new Fail(id));
         forget(q);
     }
 
     private void gone(Gone e) {
         Held q = held.get(e.requestId());
-        if (q != null && !q.done) {
-            close(q);
-            forget(q);
-        }
+        if (q == null || q.done) { return; }
+        close(q);
+        forget(q);
     }
 
     // A streamed answer that has begun is the client's: nothing is sent or ended for it any more.
     private void started(Started e) {
         Held q = held.get(e.requestId());
-        if (q == null) { return; }
-        q.streaming = true;
-        queue.remove(q);
+        if (q != null) { q.streaming = true; queue.remove(q); }
     }
 
     private void close(Held q) {
