--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -613,8 +613,7 @@
     }
 
     private void enqueue(Held q) {
-        long room = q.aimAt - q.arrived;
-        q.startBy = q.arrived + (long) (HOLD * room);
+        q.startBy = now + (long) (HOLD * (q.aimAt - now));
         q.draw = random.nextInt(Integer.MAX_VALUE);
         q.luck = random.nextDouble();
         queue.add(q);
@@ -810,8 +809,7 @@
     private void again(Held q) {
         // Work that was turned away draws on the budget too, or a full fleet is hammered.
         boolean free = q.tries.stream().noneMatch(Try::mayHaveRun);
-        boolean useful = q.tries.size() < settings.limits().maxAttempts() && now <= q.startBy;
-        if (useful && (free || mayRepeat(q)) && retries >= 1) {
+        if (useful(q) && (free || mayRepeat(q)) && retries >= 1) {
             retries--;
             enqueue(q);
         } else {
@@ -819,6 +817,11 @@
         }
     }
 
+    /** Whether a further attempt is allowed and may still be in time. */
+    private boolean useful(Held q) {
+        return q.tries.size() < settings.limits().maxAttempts() && now + q.type.latency / 2 < q.aimAt;
+    }
+
     private boolean mayRepeat(Held q) {
         return switch (q.type.info.repeat()) {
             case IDEMPOTENT -> true;
@@ -851,15 +854,12 @@
 
     /** Looks at an attempt that has been out for long: a copy elsewhere if allowed, else a new start. */
     private void check(Held q) {
-        if (q.done || q.out != 1 || q.tries.size() >= settings.limits().maxAttempts() || retries < 1
-                || now > q.startBy || !mayRepeat(q)) {
-            return;
-        }
+        if (q.done || q.out != 1 || retries < 1 || !useful(q) || !mayRepeat(q)) { return; }
         Try last = q.tries.get(q.tries.size() - 1);
         if (last.result != null || latency(last.server) < SLOW_SERVER * fleetLatency) { return; }
         if (settings.limits().duplicates()) {
             retries--;
-            queue.add(q);
+            enqueue(q);
         } else if (settings.limits().cancel()) {
             actions.add(new Cancel(q.request.id(), q.tries.size() - 1));
         }
