--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -759,6 +759,11 @@
                     s.ejectedUntil = now + Math.min(LONGEST_EJECTION, time);
                 }
             }
+            // Cut off, it would have taken longer: left out, overload would look like idleness.
+            case CANCELLED -> {
+                learn(s, Math.max(took + fleetLatency, s.latency));
+                adapt(took + fleetLatency, t.outBefore);
+            }
             // A full server is as good as one that answers late.
             case SHED -> adapt(1, t.outBefore);
         }
