--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -14,8 +14,8 @@
     private static final int SILENT_WAITS = 3; // ... and longest call times without a sign of life.
     /** Calls are sped up by answers within this share of the longest call time, slowed beyond the second. */
     private static final double PROMPT = 0.3, TARDY = 0.5;
-    /** Share of tries asked: what a prompt answer adds, what a failure leaves, and the least. */
-    private static final double PACE_STEP = 0.02, PACE_CUT = 0.7, LEAST_PACE = 0.02;
+    /** Share of tries asked: what a prompt answer adds, at least and of it, what a failure leaves, the least. */
+    private static final double PACE_STEP = 0.02, PACE_GROWTH = 0.05, PACE_CUT = 0.7, LEAST_PACE = 0.04;
     private static final double UNPACED = 8; // Gatekeepers that may all ask before the counter is known.
     private static final int LEVELS = 6; // Levels of local demand, each twice the one below.
     /** How risk rises with them, and for repeats, before any try was asked. */
@@ -40,8 +40,6 @@
     private static final long REPORT_AGE = 2_000_000; // A load report older than this says nothing.
     private static final double FADE = 8_000_000; // An unused server's latency is forgotten, and it is tried.
     private static final int CANDIDATES = 16; // Servers looked at for a send.
-    private static final double CHECK_OF_AIM = 0.6; // An attempt is looked at then: a second one still fits.
-    private static final double SLOW_SERVER = 2.5; // ... and given up if so much slower than the fleet.
     private static final double RETRY_SHARE = 0.1, RETRY_STORE = 10; // Further attempts for each first one.
     private static final int MARGIN_ROUNDS = 2; // Rounds before the client gives up in which it is answered.
 
@@ -154,7 +152,7 @@
         final Map<Kind, Share> shares = new TreeMap<>();
         final List<Try> tries = new ArrayList<>(1);
         int waiting, out, draw;
-        boolean decided, done, served, streaming;
+        boolean decided, done, streaming;
         double rank, weight, luck;
         long startBy;
 
@@ -172,7 +170,6 @@
         final ServerState server;
         final long sentAt;
         final double outBefore;
-        boolean counted = true; // As out: until it ends, or is late enough to be lost.
         Result result;
 
         Try(ServerState server, long sentAt, double outBefore) {
@@ -329,7 +326,7 @@
             ramping = false;
             pace = Math.max(LEAST_PACE, pace * PACE_CUT);
         } else if (took <= PROMPT) {
-            pace = Math.min(1, pace + (ramping ? pace : PACE_STEP));
+            pace = Math.min(1, pace + (ramping ? pace : PACE_STEP + PACE_GROWTH * pace));
         }
         if (e.result() == Result.OK || e.result() == Result.SHED) {
             silences = 0;
@@ -614,7 +611,8 @@
     }
 
     private void enqueue(Held q) {
-        q.startBy = now + (long) (HOLD * (q.aimAt - now));
+        long room = q.aimAt - q.arrived;
+        q.startBy = q.arrived + (long) (HOLD * room);
         q.draw = random.nextInt(Integer.MAX_VALUE);
         q.luck = random.nextDouble();
         queue.add(q);
@@ -640,7 +638,7 @@
     // against hundreds that each find it idle. May hurt while most servers are cold: little is sent then.
     private ServerState choose(Held q) {
         int count = running.size();
-        if (count == 0 || fleetOut + Math.min(1, q.weight) > room(count) + Math.sqrt(room(count))) { return null; }
+        if (count == 0 || fleetOut + Math.min(1, q.weight) > room(count)) { return null; }
         // When many look bad the cause is not theirs: then none is left out for its health.
         boolean trust = running.stream().filter(s -> s.failures >= FAILURES).count() <= MOST_EJECTED * count;
         int start = q.draw % count;
@@ -669,7 +667,7 @@
         return !ejected && !tried && groupAllows(s, q) && s.out + Math.min(1, q.weight) <= Math.max(1, part);
     }
 
-    // Attempts that may be out in all, in the mean; by chance as many more as their root. Never less than keeps the servers at work, whatever the latency says.
+    // Attempts that may be out in all: never less than keeps the servers at work, whatever the latency says.
     private double room(int count) {
         return Math.max(room, Math.max(1, count * Math.min(1, LEAST_OUT / settings.gatekeepers())));
     }
@@ -742,8 +740,7 @@
         return rules.coldShare() + (1 - rules.coldShare()) * Math.max(0, age) / rules.coldMicros();
     }
 
-    private void judge(Try t, Outcome e, Held q) {
-        ClassState type = q.type;
+    private void judge(Try t, Outcome e, ClassState type) {
         ServerState s = t.server;
         double took = (double) e.tookMicros() / type.info.aimMicros();
         switch (e.result()) {
@@ -761,12 +758,6 @@
                     s.ejectedUntil = now + Math.min(LONGEST_EJECTION, time);
                 }
             }
-            // Cut off early, it would have taken longer: left out, overload would look like idleness. Not so if
-            // a copy was served, or nothing came for all of the aim: then this server or its answer is at fault.
-            case CANCELLED -> {
-                learn(s, Math.max(took + fleetLatency, s.latency));
-                if (!q.served && took < 1) { adapt(took + fleetLatency, t.outBefore); }
-            }
             // A full server is as good as one that answers late.
             case SHED -> adapt(1, t.outBefore);
         }
@@ -788,7 +779,6 @@
         s.sentAt.merge(now, 1, Integer::sum);
         actions.add(new Attempt(q.request.id(), s.info.id(), q.request.giveUpAtMicros()));
         retries = Math.min(RETRY_STORE, retries + RETRY_SHARE);
-        if (!q.type.info.streamed()) { wakeAt(now + checkAfter(q), "check:", q); }
     }
 
     private void outcome(Outcome e) {
@@ -799,10 +789,10 @@
         t.result = e.result();
         q.out--;
         ServerState s = t.server;
-        uncount(t, q);
+        s.out = Math.max(0, s.out - q.weight);
+        fleetOut = Math.max(0, fleetOut - q.weight);
         s.sentAt.computeIfPresent(t.sentAt, (at, n) -> n == 1 ? null : n - 1);
-        q.served |= e.result() == Result.OK;
-        judge(t, e, q);
+        judge(t, e, q.type);
         report(s, e.load());
         if (e.result() == Result.OK) { settle(q, e.settledUnits()); }
         q.done |= e.over();
@@ -811,19 +801,12 @@
         forget(q);
     }
 
-    private static long checkAfter(Held q) { return (long) (CHECK_OF_AIM * q.type.info.aimMicros()); }
-
-    private void uncount(Try t, Held q) {
-        t.server.out = Math.max(0, t.server.out - (t.counted ? q.weight : 0));
-        fleetOut = Math.max(0, fleetOut - (t.counted ? q.weight : 0));
-        t.counted = false;
-    }
-
     /** Sends a request again where that is harmless and still of use, else answers it. */
     private void again(Held q) {
         // Work that was turned away draws on the budget too, or a full fleet is hammered.
         boolean free = q.tries.stream().noneMatch(Try::mayHaveRun);
-        if (useful(q) && (free || mayRepeat(q)) && retries >= 1) {
+        boolean useful = q.tries.size() < settings.limits().maxAttempts() && now <= q.startBy;
+        if (useful && (free || mayRepeat(q)) && retries >= 1) {
             retries--;
             enqueue(q);
         } else {
@@ -831,11 +814,6 @@
         }
     }
 
-    /** Whether a further attempt is allowed and may still be in time. */
-    private boolean useful(Held q) {
-        return q.tries.size() < settings.limits().maxAttempts() && now + q.type.latency / 2 < q.aimAt;
-    }
-
     private boolean mayRepeat(Held q) {
         return switch (q.type.info.repeat()) {
             case IDEMPOTENT -> true;
@@ -866,20 +844,6 @@
                 || type.repeat() == Repeat.DEDUPLICATED && type.group() == Group.ALL;
     }
 
-    /** Looks at an attempt that has been out for long: a copy elsewhere if allowed, else a new start. */
-    private void check(Held q) {
-        if (q.done || q.out != 1 || retries < 1 || !useful(q) || !mayRepeat(q)) { return; }
-        boolean pressed = fleetLatency > LATENCY_TARGET;
-        Try last = q.tries.get(q.tries.size() - 1);
-        if (last.result != null || latency(last.server) < SLOW_SERVER * fleetLatency) { return; }
-        if (settings.limits().duplicates() && !pressed) {
-            retries--;
-            enqueue(q);
-        } else if (settings.limits().cancel()) {
-            actions.add(new Cancel(q.request.id(), q.tries.size() - 1));
-        }
-    }
-
     // ---- deadlines ----
 
     private void wakeAt(long at, String what, Held q) {
@@ -900,11 +864,6 @@
                 boolean late = now >= q.startBy && queue.remove(q);
                 if (late && q.out == 0) { refuse(q, (long) q.type.latency); }
             }
-            case "check" -> {
-                // Guards the room against answers that never come, whoever loses them.
-                q.tries.stream().filter(t -> now >= t.sentAt + checkAfter(q)).forEach(t -> uncount(t, q));
-                check(q);
-            }
             case "end" -> end(q);
         }
     }
