--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -14,7 +14,7 @@
     private static final int SILENT_WAITS = 3; // ... and longest call times without a sign of life.
     /** Calls are sped up by answers within this share of the longest call time, slowed beyond the second. */
     private static final double PROMPT = 0.3, TARDY = 0.5;
-    /** Share of tries asked: what a prompt answer adds, at least and of it, what a failure leaves, the least. */
+    /** Share of tries asked: what a prompt answer adds, at least and in part, what a failure leaves. */
     private static final double PACE_STEP = 0.02, PACE_GROWTH = 0.05, PACE_CUT = 0.7, LEAST_PACE = 0.04;
     private static final double UNPACED = 8; // Gatekeepers that may all ask before the counter is known.
     private static final int LEVELS = 6; // Levels of local demand, each twice the one below.
@@ -23,7 +23,8 @@
     /** Samples that these first guesses stand for, and windows over which local demand is taken. */
     private static final double PRIOR_SAMPLES = 4, DEMAND_WINDOWS = 3;
     private static final double RISK_GAIN = 0.3, RISK_WINDOWS = 4; // A customer's risk: its last tries.
-    private static final double MOST_STAND_IN = 0.5; // Most of a limit that one asked try counts for.
+    private static final double BREAK_EVEN = 0.7; // Of a try's worth: refused unasked, a client may come again.
+    private static final double MOST_STAND_IN = 1; // Most of a limit that one asked try counts for.
     private static final double LOST = 0.5; // What a count must lack of own adds before they are put back.
     private static final double OWED_DELAY = 0.06, OWED_DELAY_CROWDED = 0.3; // Of a window, then sent alone.
     private static final double SLOW_GAIN = 0.05; // Weight of a new sample: about the last 20 count.
@@ -305,7 +306,7 @@
     // reason, so that the count stays right in the mean at any pace.
     private double adds(Share share, Held q, double chance) {
         if (share.pair.kind == Kind.CEILING || silent()) { return share.units; }
-        if (proven(share, q) || risk(share, q) * (1 + overLoss(q)) > 1) { return 0; }
+        if (proven(share, q) || risk(share, q) * (1 + overLoss(q)) > BREAK_EVEN) { return 0; }
         return Math.min(share.units / chance, Math.max(share.units, share.pair.limit * MOST_STAND_IN));
     }
 
@@ -553,7 +554,7 @@
     private boolean unasked(Share share, Held q) {
         Pair pair = share.pair;
         if (pair.kind != Kind.CEILING) {
-            return crowded() && !silent() && risk(share, q) * (1 + overLoss(q)) > 1;
+            return crowded() && !silent() && risk(share, q) * (1 + overLoss(q)) > BREAK_EVEN;
         }
         double part = Math.max(1, q.request.spread());
         pair.level = Math.min(pair.limit / part, (Double.isNaN(pair.level) ? 0 : pair.level)
