--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -23,7 +23,7 @@
     /** Samples that these first guesses stand for, and windows over which local demand is taken. */
     private static final double PRIOR_SAMPLES = 4, DEMAND_WINDOWS = 3;
     private static final double RISK_GAIN = 0.3, RISK_WINDOWS = 4; // A customer's risk: its last tries.
-    private static final double BREAK_EVEN = 0.7; // Of a try's worth: refused unasked, a client may come again.
+    private static final double BREAK_EVEN = 0.7; // Of the risk: a client refused unasked may come again.
     private static final double MOST_STAND_IN = 1; // Most of a limit that one asked try counts for.
     private static final double LOST = 0.5; // What a count must lack of own adds before they are put back.
     private static final double OWED_DELAY = 0.06, OWED_DELAY_CROWDED = 0.3; // Of a window, then sent alone.
