--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -727,7 +727,7 @@
             s.info = server;
             s.running = server.availability() == Availability.RUNNING;
         }
-        room = room > 0 ? room : servers.size() * Math.max(1, FIRST_OUT / settings.gatekeepers());
+        room = room > 0 ? room : servers.size() * FIRST_OUT / Math.max(1, settings.gatekeepers());
         servers.values().removeIf(s -> !s.running && s.sentAt.isEmpty());
         running = servers.values().stream().filter(s -> s.running).toList();
         if (e.listing() == Listing.CACHED && settings.mustAskForServers()) { actions.add(new Watch()); }
