--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -16,6 +16,7 @@
     private static final double PROMPT = 0.3, TARDY = 0.5;
     /** Share of tries asked: what a prompt answer adds, at least and in part, what a failure leaves. */
     private static final double PACE_STEP = 0.02, PACE_GROWTH = 0.05, PACE_CUT = 0.7, LEAST_PACE = 0.04;
+    private static final long TIGHT = 5_000_000; // Time without trouble before a try may cost a second call.
     private static final double UNPACED = 8; // Gatekeepers that may all ask before the counter is known.
     private static final int LEVELS = 6; // Levels of local demand, each twice the one below.
     /** How risk rises with them, and for repeats, before any try was asked. */
@@ -219,7 +220,7 @@
     private List<ServerState> running = List.of();
     private final long longestDeadline, longestAim;
     private List<Action> actions = new ArrayList<>();
-    private long now, heardAt;
+    private long now, heardAt, crowdedAt = Long.MIN_VALUE / 2;
     private int silences;
     private boolean ramping = true;
     private double pace, fleetOut, meanOut, room;
@@ -313,6 +314,9 @@
     /** Calls are held back: the counter turned some away, or answered late. */
     private boolean crowded() { return pace < 1; }
 
+    /** It was crowded of late: each try is asked again, but calls beside those would soon bring that back. */
+    private boolean tight() { return crowded() || now - crowdedAt < TIGHT; }
+
     /** No sign of life from the counter for several calls and long enough that it is not just crowded. */
     private boolean silent() {
         return silences >= SILENCES && now - heardAt > SILENT_WAITS * settings.counter().waitMicros();
@@ -325,6 +329,7 @@
         double took = (double) e.tookMicros() / Math.max(1, settings.counter().waitMicros());
         if (e.result() != Result.OK || took > TARDY) {
             ramping = false;
+            crowdedAt = now;
             pace = Math.max(LEAST_PACE, pace * PACE_CUT);
         } else if (took <= PROMPT) {
             pace = Math.min(1, pace + (ramping ? pace : PACE_STEP + PACE_GROWTH * pace));
@@ -478,7 +483,7 @@
         tally.owed += units;
         if (tally.owed == 0 || tally.waking || tally.lapsed(now)) { return; }
         tally.waking = true;
-        double share = (crowded() ? OWED_DELAY_CROWDED : OWED_DELAY) * (1 + random.nextDouble());
+        double share = (tight() ? OWED_DELAY_CROWDED : OWED_DELAY) * (1 + random.nextDouble());
         actions.add(new WakeAfter(Math.max(1, (long) (share * tally.pair.window)), "owed:" + tally.name));
     }
 
@@ -495,7 +500,7 @@
         q.waiting--;
         if (q.waiting > 0 || q.decided) { return; }
         Share rate = q.shares.get(Kind.RATE);
-        if (rate != null && !crowded() && mayDecide(rate)) { readPrevious(q, rate.pair); }
+        if (rate != null && !tight() && mayDecide(rate)) { readPrevious(q, rate.pair); }
         if (q.waiting == 0) { decide(q); }
     }
 
