--- a/src/test/java/fawndock/QuotaTest.java
+++ b/src/test/java/fawndock/QuotaTest.java
@@ -212,6 +212,23 @@
         assertEquals(4.0, most, "the limit at most");
     }
 
+    @Test
+    void afterACrowdATryCostsOneCallForAWhile() {
+        String name = one(Count.class, rig.on(request(rig, 1, "first"))).name();
+        rig.on(new Counted(name, Result.SHED, 0, 500));
+        for (long id = 2; id <= 60; id++) {
+            serve(rig.on(request(rig, id, "calm" + id)));
+        }
+        assertEquals(0, secondCalls(100), "five seconds have not passed");
+        rig.now += 6 * Rig.SECOND;
+        assertEquals(1, secondCalls(101), "the window before is read");
+    }
+
+    private int secondCalls(long id) {
+        Count first = one(Count.class, rig.on(request(rig, id, "new" + id)));
+        return only(Count.class, rig.on(new Counted(first.name(), Result.OK, first.amount(), 1_000))).size();
+    }
+
     @Test
     void promptAnswersEndTheCrowd() {
         crowd(rig);
