Scarce room goes to what earns most in the mean: plan price and learned risk join the order; hold of 0.25

Should also help in any surge or shrunk fleet; may hurt cheap plans while room stays short. Tests fail without price or risk in the order.

--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -25,6 +25,7 @@
     private static final double PRIOR_SAMPLES = 4, DEMAND_WINDOWS = 3;
     private static final double RISK_GAIN = 0.3, RISK_WINDOWS = 4; // A customer's risk: its last tries.
     private static final double BREAK_EVEN = 0.7; // Of the risk: a client refused unasked may come again.
+    private static final double LEAST_GAIN = 0.01; // Of a try's worth: keeps the order among risky ones.
     private static final double MOST_STAND_IN = 1; // Most of a limit that one asked try counts for.
     private static final double LOST = 0.5; // What a count must lack of own adds before they are put back.
     private static final double OWED_DELAY = 0.06, OWED_DELAY_CROWDED = 0.3; // Of a window, then sent alone.
@@ -35,7 +36,7 @@
     private static final double LEAST_OUT = 4; // ... and at the least: keeps a small server's cores at work.
     private static final double NEAR_FULL = 0.7, GROWTH = 0.02; // Used so far, room grows so much an answer.
     private static final double COLD_PART = 1.5; // Of an even share times warmth: most are warmer.
-    private static final double HOLD = 0.15; // Longest hold, of the aim: a standing queue makes all late.
+    private static final double HOLD = 0.25; // Longest hold, of the aim: a standing queue makes all late.
     private static final int FAILURES = 3; // Failures in a row that take a server out.
     private static final long FIRST_EJECTION = 1_000_000, LONGEST_EJECTION = 16_000_000; // Doubles each time.
     private static final double MOST_EJECTED = 0.5; // When more servers fail, the cause is not theirs.
@@ -614,10 +615,20 @@
         q.decided = true;
         q.type.units += SLOW_GAIN * (q.request.units() - q.type.units);
         q.weight = Math.max(0.1, q.request.units() / q.type.units);
-        q.rank = q.type.info.worth() / q.type.latency;
+        q.rank = gain(q) / q.type.latency;
         enqueue(q);
     }
 
+    // What sending a request earns in the mean; the counter's word, or a well counter, leaves no risk. Orders
+    // what waits: guards whatever makes room scarce against its going to tries that are beyond their quota.
+    // May hurt cheap plans while room is short for long.
+    private double gain(Held q) {
+        Share share = q.shares.get(Kind.RATE);
+        boolean told = share == null || !crowded() || !Double.isNaN(share.before);
+        double loss = told ? 0 : risk(share, q) * (1 + overLoss(q));
+        return q.type.info.worth() * q.plan.pays() * Math.max(LEAST_GAIN, 1 - loss);
+    }
+
     private void enqueue(Held q) {
         long room = q.aimAt - q.arrived;
         q.startBy = q.arrived + (long) (HOLD * room);
--- a/src/test/java/fawndock/QuotaTest.java
+++ b/src/test/java/fawndock/QuotaTest.java
@@ -12,10 +12,12 @@
 import fawndock.Gatekeeper.Counted;
 import fawndock.Gatekeeper.Fail;
 import fawndock.Gatekeeper.Outcome;
+import fawndock.Gatekeeper.Plan;
 import fawndock.Gatekeeper.Refuse;
 import fawndock.Gatekeeper.Repeat;
 import fawndock.Gatekeeper.Request;
 import fawndock.Gatekeeper.Result;
+import fawndock.Gatekeeper.Settings;
 import fawndock.Gatekeeper.Wake;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -252,6 +254,38 @@
         assertEquals(1, only(Refuse.class, none.on(new Wake("hold:1"))).size());
     }
 
+    @Test
+    void scarceRoomGoesToTheDearerPlanAndToTheLesserRisk() {
+        Plan dear = new Plan("dear", 0, 0, 0, 2, 0, 1, 0, 0, 0);
+        Plan cheap = new Plan("cheap", 0, 0, 0, 0.5, 0, 1, 0, 0, 0);
+        Settings s = Rig.settings(Rig.ratePlan(1, 4), Repeat.IDEMPOTENT, true, true);
+        Rig busy = new Rig(new Settings(s.me(), s.gatekeepers(), s.seed(), s.roundMicros(), s.zone(), false, s.classes(),
+                List.of(s.plans().get(0), dear, cheap), s.limits(), s.rules(), s.counter()), "a");
+        crowd(busy);
+        for (long id = 1; id <= 2; id++) {
+            only(Attempt.class, busy.on(request(busy, id, "greedy"))).forEach(
+                    a -> busy.outcome(a.requestId(), 0, a.server(), Result.OK, true));
+        }
+        long last = 10;
+        while (!only(Attempt.class, busy.on(unmetered(busy, last, "dear"))).isEmpty()) {
+            last++;
+        }
+        busy.on(unmetered(busy, 100, "cheap"));
+        busy.on(request(busy, 101, "greedy"));
+        busy.on(request(busy, 102, "calm"));
+        busy.on(new Wake("ask:101"));
+        busy.on(new Wake("ask:102"));
+        List<Long> order = new ArrayList<>();
+        for (long done = 10; done < 14; done++) {
+            order.add(one(Attempt.class, busy.outcome(done, 0, "a", Result.OK, true)).requestId());
+        }
+        assertEquals(List.of(last, 102L, 101L, 100L), order);
+    }
+
+    private static Request unmetered(Rig on, long id, String plan) {
+        return new Request(id, "class", plan, "customer", on.now + 3 * Rig.SECOND, 1, 2, 0, false);
+    }
+
     @Test
     void whatIsGivenUpOnIsAnsweredInTheSameEventAndToldWhenToComeBack() {
         for (long id = 1; id <= 4; id++) {
