The gateway host, settings files and stand-ins, compiling; not yet wired to commands

Change: fawndock.settings reads line-based settings with all mistakes at once; fawndock.gateway hosts one Logic on an event loop; fawndock.standin has worker, counter, roster and client with faults.

--- /dev/null
+++ b/src/main/java/fawndock/gateway/CounterLink.java
@@ -0,0 +1,46 @@
+package fawndock.gateway;
+
+import com.dynatrace.hash4j.consistent.ConsistentBucketHasher;
+import com.dynatrace.hash4j.consistent.ConsistentHashing;
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import com.dynatrace.hash4j.random.PseudoRandomGeneratorProvider;
+import fawndock.Gatekeeper.Count;
+import fawndock.Gatekeeper.Counted;
+import fawndock.settings.Address;
+import fawndock.settings.DaemonSettings.CounterParts;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * The counter service in parts. A name's part is XXH3 of the name, then jump consistent hashing (Lamping and Veach,
+ * 2014), both from hash4j: every gatekeeper with the same list of parts picks the same one.
+ */
+final class CounterLink {
+    private static final Hasher64 HASH = Hashing.xxh3_64();
+    private final ConsistentBucketHasher buckets =
+            ConsistentHashing.jumpHash(PseudoRandomGeneratorProvider.splitMix64_V1());
+    private final List<CounterPart> parts = new ArrayList<>();
+
+    CounterLink(Vertx vertx, Context context, CounterParts settings, MicroClock clock, Alarms alarms,
+                Consumer<Counted> told) {
+        for (Address address : settings.parts()) {
+            parts.add(new CounterPart(vertx, context, address, settings, clock, alarms, told));
+        }
+    }
+
+    void count(Count count) {
+        parts.get(part(count.name())).count(count);
+    }
+
+    int part(String name) {
+        return buckets.getBucket(HASH.hashCharsToLong(name), parts.size());
+    }
+
+    void close() {
+        parts.forEach(CounterPart::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/fawndock/gateway/CounterPart.java
@@ -0,0 +1,226 @@
+package fawndock.gateway;
+
+import fawndock.Gatekeeper.Count;
+import fawndock.Gatekeeper.Counted;
+import fawndock.Gatekeeper.Result;
+import fawndock.settings.Address;
+import fawndock.settings.DaemonSettings.CounterParts;
+import io.vertx.core.AsyncResult;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.redis.client.Command;
+import io.vertx.redis.client.Redis;
+import io.vertx.redis.client.RedisConnection;
+import io.vertx.redis.client.RedisOptions;
+import io.vertx.redis.client.Request;
+import io.vertx.redis.client.Response;
+import io.vertx.redis.client.impl.types.ErrorType;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One part of the counter service, over one connection of the Redis serialization protocol at a time. A call is
+ * {@code INCRBYFLOAT name amount} and {@code PEXPIRE name ms NX} sent as one; it is told exactly once, in the order
+ * of the calls: by its answer or by its time-out, whichever is first. One connection answers in order and a lost
+ * connection ends all of its calls before the next is used, so that no total is given to another call.
+ */
+final class CounterPart {
+    private static final Logger LOG = LoggerFactory.getLogger(CounterPart.class);
+    private static final long FIRST_PAUSE = 50_000;
+    private static final long LONGEST_PAUSE = 1_000_000;
+    private static final long CONNECT_MICROS = 1_000_000;
+    private static final int HALF_OPEN = 20;
+
+    /** A call that is out. */
+    private static final class Call {
+        final Count count;
+        final long startedAt;
+        Alarms.Alarm timeOut;
+        Counted end;
+
+        Call(Count count, long startedAt) {
+            this.count = count;
+            this.startedAt = startedAt;
+        }
+    }
+
+    private final Vertx vertx;
+    private final Context context;
+    private final Address address;
+    private final CounterParts settings;
+    private final MicroClock clock;
+    private final Alarms alarms;
+    private final Consumer<Counted> told;
+    /** Calls on the connection, oldest first; all untold calls by name, in the order in which they were made. */
+    private final Set<Call> out = new LinkedHashSet<>();
+    private final Map<String, ArrayDeque<Call>> lines = new HashMap<>();
+    private Redis client;
+    private RedisConnection connection;
+    private long pause = FIRST_PAUSE;
+    private int inARow;
+    private boolean closed;
+
+    CounterPart(Vertx vertx, Context context, Address address, CounterParts settings, MicroClock clock,
+                Alarms alarms, Consumer<Counted> told) {
+        this.vertx = vertx;
+        this.context = context;
+        this.address = address;
+        this.settings = settings;
+        this.clock = clock;
+        this.alarms = alarms;
+        this.told = told;
+        connect();
+    }
+
+    void count(Count count) {
+        Call call = new Call(count, clock.now());
+        lines.computeIfAbsent(count.name(), name -> new ArrayDeque<>(2)).add(call);
+        if (connection == null || out.size() >= settings.maxCalls()) {
+            // In a later turn: the gatekeeper is still being asked.
+            Result why = connection == null ? Result.CONNECT_FAILED : Result.SHED;
+            context.runOnContext(later -> end(call, why, 0));
+            return;
+        }
+        out.add(call);
+        call.timeOut = alarms.after(settings.timeoutMicros(), () -> timeOut(call));
+        RedisConnection used = connection;
+        long keepMillis = Math.max(1, (count.keepMicros() + 999) / 1_000);
+        used.batch(List.of(
+                Request.cmd(Command.INCRBYFLOAT).arg(count.name()).arg(Double.toString(count.amount())),
+                Request.cmd(Command.PEXPIRE).arg(count.name()).arg(keepMillis).arg("NX")))
+                .onComplete(answer -> answered(used, call, answer));
+    }
+
+    private void answered(RedisConnection used, Call call, AsyncResult<List<Response>> answer) {
+        if (used == connection) {
+            inARow = 0;
+        }
+        if (call.end != null) {
+            return; // Timed out before: nobody else's total.
+        }
+        if (answer.succeeded()) {
+            try {
+                end(call, Result.OK, Double.parseDouble(answer.result().get(0).toString()));
+            } catch (NumberFormatException | NullPointerException e) {
+                end(call, Result.TIMEOUT, 0); // Not a total, and the amount may have been added.
+            }
+        } else {
+            // An error to the first command is an answer: nothing was added. Any other end leaves that open.
+            boolean refused = answer.cause() instanceof ErrorType && answer.cause().getMessage() != null
+                    && answer.cause().getMessage().startsWith("ERR [0]");
+            end(call, refused ? Result.SHED : Result.TIMEOUT, 0);
+        }
+    }
+
+    private void timeOut(Call call) {
+        end(call, Result.TIMEOUT, 0);
+        inARow++;
+        // Guards against a half-open connection, on which nothing would ever be heard again. May drop one that
+        // is only slow; its calls have timed out by then anyway.
+        if (inARow >= HALF_OPEN && connection != null) {
+            lost("silent");
+        }
+    }
+
+    private void end(Call call, Result result, double total) {
+        if (call.end != null) {
+            return;
+        }
+        String name = call.count.name();
+        call.end = new Counted(name, result, total, clock.now() - call.startedAt);
+        alarms.cancel(call.timeOut);
+        out.remove(call);
+        // A call that ends before an older one of its name, such as one that was never sent, waits for it.
+        ArrayDeque<Call> line = lines.get(name);
+        while (line != null && !line.isEmpty() && line.peek().end != null) {
+            Counted next = line.poll().end;
+            if (line.isEmpty()) {
+                lines.remove(name);
+            }
+            if (!closed) {
+                told.accept(next);
+            }
+        }
+    }
+
+    private void connect() {
+        if (closed) {
+            return;
+        }
+        Redis making = Redis.createClient(vertx, new RedisOptions()
+                .setConnectionString("redis://" + address)
+                .setMaxPoolSize(1)
+                .setMaxPoolWaiting(1)
+                .setMaxWaitingHandlers(2 * settings.maxCalls() + 16)
+                .setNetClientOptions(new NetClientOptions().setTcpNoDelay(true)
+                        .setConnectTimeout((int) (CONNECT_MICROS / 1_000))));
+        client = making;
+        // The greeting has no time limit of its own.
+        Alarms.Alarm limit = alarms.after(CONNECT_MICROS, () -> {
+            if (client == making && connection == null) {
+                making.close();
+                again(making, "no greeting");
+            }
+        });
+        making.connect().onComplete(made -> {
+            alarms.cancel(limit);
+            if (client != making || closed) {
+                making.close();
+            } else if (made.failed()) {
+                making.close();
+                again(making, made.cause().getMessage());
+            } else {
+                connection = made.result();
+                pause = FIRST_PAUSE;
+                inARow = 0;
+                RedisConnection mine = connection;
+                connection.exceptionHandler(e -> context.runOnContext(v -> lostIf(mine, String.valueOf(e.getMessage()))));
+                connection.endHandler(e -> context.runOnContext(v -> lostIf(mine, "closed")));
+                LOG.info("counter {} connected", address);
+            }
+        });
+    }
+
+    private void lostIf(RedisConnection which, String why) {
+        if (which == connection) {
+            lost(why);
+        }
+    }
+
+    private void lost(String why) {
+        Redis lost = client;
+        connection = null;
+        // In the order of the calls, before a new connection can answer any: the amounts may have been added.
+        for (Call call : List.copyOf(out)) {
+            end(call, Result.TIMEOUT, 0);
+        }
+        lost.close();
+        again(lost, why);
+    }
+
+    private void again(Redis which, String why) {
+        if (closed || client != which) {
+            return;
+        }
+        client = null;
+        LOG.warn("counter {} lost ({}), trying again in {} ms", address, why, pause / 1_000);
+        alarms.after(pause, this::connect);
+        pause = Math.min(LONGEST_PAUSE, pause * 2);
+    }
+
+    void close() {
+        closed = true;
+        connection = null;
+        if (client != null) {
+            client.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/fawndock/gateway/Daemon.java
@@ -0,0 +1,68 @@
+package fawndock.gateway;
+
+import fawndock.Gatekeeper;
+import fawndock.Logic;
+import fawndock.settings.DaemonSettings;
+import io.vertx.core.DeploymentOptions;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+
+/** The gatekeepers of one process, started and stopped together. */
+public final class Daemon {
+    private final DaemonSettings settings;
+    private final Function<Gatekeeper.Settings, Gatekeeper> maker;
+    private final Vertx vertx;
+    private final List<GatekeeperNode> nodes = new ArrayList<>();
+    private final AtomicInteger connections = new AtomicInteger();
+
+    /** A daemon whose requests {@link Logic} decides. */
+    public Daemon(DaemonSettings settings) {
+        this(settings, Logic::new);
+    }
+
+    Daemon(DaemonSettings settings, Function<Gatekeeper.Settings, Gatekeeper> maker) {
+        this.settings = settings;
+        this.maker = maker;
+        this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(settings.instances()));
+    }
+
+    /**
+     * Starts all gatekeepers; completes with the port on which clients are heard, or fails when one could not
+     * listen. On any thread.
+     */
+    public Future<Integer> start() {
+        Future<Integer> started = Future.succeededFuture(settings.listen().port());
+        for (int i = 0; i < settings.instances(); i++) {
+            int me = settings.first() + i;
+            started = started.compose(port -> {
+                GatekeeperNode node = new GatekeeperNode(settings, me, port, connections, maker);
+                nodes.add(node);
+                return vertx.deployVerticle(node, new DeploymentOptions()).map(id -> node.port());
+            });
+        }
+        return started;
+    }
+
+    /** Answers what is open, then closes everything. Takes at most the stop time of the settings and 5 s. */
+    public Future<Void> stop() {
+        return Future.join(nodes.stream().map(GatekeeperNode::drain).toList()).transform(all -> vertx.close());
+    }
+
+    /** Stops and waits for it; not to be called on an event loop. */
+    public void stopAndWait() {
+        try {
+            stop().toCompletionStage().toCompletableFuture()
+                    .get(settings.http().stopMicros() / 1_000 + 5_000, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException e) {
+            vertx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/fawndock/gateway/Front.java
@@ -0,0 +1,209 @@
+package fawndock.gateway;
+
+import fawndock.Gatekeeper.Plan;
+import fawndock.Gatekeeper.Repeat;
+import fawndock.Gatekeeper.RequestClass;
+import fawndock.gateway.Exchange.Asked;
+import fawndock.settings.DaemonSettings;
+import fawndock.settings.DaemonSettings.Key;
+import fawndock.settings.DaemonSettings.Route;
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/**
+ * Turns a client's HTTP request into one for the gatekeeper: method and path give the class, the key gives customer
+ * and plan, a header field gives the time that the client has left. What cannot be turned into one is answered here
+ * and never counted.
+ */
+final class Front {
+    private static final Pattern STRUCTURED_STRING = Pattern.compile("\"(?:[ !#-\\[\\]-~]|\\\\[\"\\\\]){1,255}\"");
+    private static final Pattern DOT_SEGMENT = Pattern.compile("(?i)(^|/)(\\.|%2e){1,2}(/|$)|%2f|%5c|\\\\");
+    private final DaemonSettings settings;
+    private final GatekeeperHost host;
+    private final AnswerLog answerLog;
+    private final Map<String, RequestClass> classes = new HashMap<>();
+    private final Map<String, Plan> plans = new HashMap<>();
+
+    Front(DaemonSettings settings, GatekeeperHost host, AnswerLog answerLog) {
+        this.settings = settings;
+        this.host = host;
+        this.answerLog = answerLog;
+        settings.classes().forEach(c -> classes.put(c.name(), c));
+        settings.plans().forEach(p -> plans.put(p.name(), p));
+    }
+
+    void handle(HttpServerRequest request) {
+        long arrivedAt = host.clock().now();
+        try {
+            Asked asked = read(request, arrivedAt);
+            if (asked != null) {
+                collect(request, asked);
+            }
+        } catch (Unfit e) {
+            turnAway(request, e.problem);
+        }
+    }
+
+    /** A request that cannot be given to the gatekeeper. */
+    private static final class Unfit extends RuntimeException {
+        private static final long serialVersionUID = 1;
+        private final transient Problem problem;
+
+        Unfit(int status, String type, String title, String detail) {
+            super(detail, null, false, false);
+            this.problem = new Problem(status, type, title, detail);
+        }
+    }
+
+    private Asked read(HttpServerRequest request, long arrivedAt) {
+        String path = request.path();
+        if (path == null || DOT_SEGMENT.matcher(path).find()) {
+            throw new Unfit(400, "path", "Path cannot be read", "Send it without dot segments.");
+        }
+        String key = one(request, settings.http().keyHeader());
+        Key holder = key == null ? null : settings.keys().get(key);
+        if (holder == null) {
+            request.response().putHeader("www-authenticate", "ApiKey");
+            throw new Unfit(401, "key", "No valid key", "Send a key in the field "
+                    + settings.http().keyHeader() + ".");
+        }
+        Route route = null;
+        for (Route each : settings.routes()) {
+            if (each.matches(request.method().name(), path)) {
+                route = each;
+                break;
+            }
+        }
+        if (route == null) {
+            throw new Unfit(404, "route", "No such route", "Nothing is served at this method and path.");
+        }
+        RequestClass type = classes.get(route.requestClass());
+        idempotencyKey(request, type);
+        long left = Math.min(type.deadlineMicros(), millis(request, settings.http().deadlineHeader(),
+                type.deadlineMicros() / 1_000) * 1_000);
+        boolean repeat = millis(request, settings.http().attemptHeader(), 1) > 1;
+        int spread = holder.spread() == 0 ? settings.fleet() : holder.spread();
+        MultiMap headers = Headers.forwarded(request.headers(), settings.http().keyHeader(),
+                settings.http().deadlineHeader(), settings.http().attemptHeader(), "content-length");
+        headers.add("via", (request.version().alpnName().startsWith("h2") ? "2" : "1.1") + " fawndock");
+        String label = request.getHeader("x-request-id");
+        return new Asked(type, holder.plan(), holder.customer(), arrivedAt, arrivedAt + left, units(request),
+                spread, holder.first(), repeat, request.method(), request.uri(), headers, Buffer.buffer(),
+                label == null ? "" : label.substring(0, Math.min(64, label.length())));
+    }
+
+    private void idempotencyKey(HttpServerRequest request, RequestClass type) {
+        String key = one(request, "idempotency-key");
+        if (key == null && type.repeat() == Repeat.DEDUPLICATED) {
+            throw new Unfit(400, "idempotency-key", "Idempotency-Key is missing",
+                    "Requests of this class need one.");
+        }
+        if (key != null && !STRUCTURED_STRING.matcher(key).matches()) {
+            throw new Unfit(400, "idempotency-key", "Idempotency-Key cannot be read",
+                    "Send a structured-field string, in double quotes, of 1 to 255 characters.");
+        }
+    }
+
+    private double units(HttpServerRequest request) {
+        String name = settings.http().unitsHeader();
+        String text = name.isEmpty() ? null : one(request, name);
+        if (text == null) {
+            return 1;
+        }
+        if (text.matches("[0-9]{1,9}(\\.[0-9]{1,6})?")) {
+            double units = Double.parseDouble(text);
+            if (units > 0 && units <= settings.http().mostUnits()) {
+                return units;
+            }
+        }
+        throw new Unfit(400, "field", "A field cannot be read", name + " is a number above 0 and at most "
+                + settings.http().mostUnits() + ".");
+    }
+
+    private static long millis(HttpServerRequest request, String name, long otherwise) {
+        String text = name.isEmpty() ? null : one(request, name);
+        if (text == null) {
+            return otherwise;
+        }
+        if (!text.matches("[0-9]{1,9}") || text.matches("0+")) {
+            throw new Unfit(400, "field", "A field cannot be read", name + " is a whole number above 0.");
+        }
+        return Long.parseLong(text);
+    }
+
+    private static String one(HttpServerRequest request, String name) {
+        List<String> all = request.headers().getAll(name);
+        if (all.size() > 1) {
+            throw new Unfit(400, "field", "A field stands twice", "Send " + name + " once.");
+        }
+        return all.isEmpty() ? null : all.get(0);
+    }
+
+    /** Takes in the body, which a repeat may need again, up to the stated size. */
+    private void collect(HttpServerRequest request, Asked asked) {
+        int limit = settings.http().bodyLimit();
+        String length = request.getHeader("content-length");
+        if (length != null && (!length.matches("[0-9]{1,18}") || Long.parseLong(length) > limit)) {
+            throw tooLarge(limit);
+        }
+        boolean[] ended = {false};
+        Alarms.Alarm late = host.alarms().after(asked.giveUpAt() - host.clock().now(), () -> {
+            if (!ended[0]) {
+                ended[0] = true;
+                turnAway(request, new Problem(408, "slow", "Body came too late", "The time given ran out."));
+            }
+        });
+        request.exceptionHandler(e -> {
+            ended[0] = true;
+            host.alarms().cancel(late);
+        });
+        request.handler(part -> {
+            asked.body().appendBuffer(part);
+            if (!ended[0] && asked.body().length() > limit) {
+                ended[0] = true;
+                host.alarms().cancel(late);
+                turnAway(request, tooLarge(limit).problem);
+            }
+        });
+        request.endHandler(end -> {
+            host.alarms().cancel(late);
+            if (!ended[0]) {
+                ended[0] = true;
+                enter(request, asked);
+            }
+        });
+    }
+
+    private static Unfit tooLarge(int limit) {
+        return new Unfit(413, "size", "Body too large", "At most " + limit + " bytes are taken.");
+    }
+
+    private void enter(HttpServerRequest request, Asked asked) {
+        if (host.open() >= settings.limits().maxOpen()) {
+            request.response().putHeader("retry-after", "1");
+            turnAway(request, new Problem(503, "open", "Too many open requests", "Trying again is harmless."));
+            return;
+        }
+        long[] id = {-1};
+        // Before the gatekeeper is asked: it may answer at once, and a client may be gone by then.
+        request.response().closeHandler(closed -> host.gone(id[0]));
+        request.response().exceptionHandler(e -> host.gone(id[0]));
+        request.exceptionHandler(e -> host.gone(id[0]));
+        id[0] = host.request(new HttpExchange(request, asked, plans.get(asked.plan())));
+    }
+
+    private void turnAway(HttpServerRequest request, Problem problem) {
+        String label = request.getHeader("x-request-id");
+        answerLog.turnedAway(label == null ? "" : label, problem.status(), problem.type());
+        if (problem.status() == 413 || problem.status() == 408) {
+            request.response().putHeader("connection", "close");
+        }
+        problem.answer(request);
+        request.handler(null);
+    }
+}
--- /dev/null
+++ b/src/main/java/fawndock/gateway/HttpExchange.java
@@ -0,0 +1,85 @@
+package fawndock.gateway;
+
+import fawndock.Gatekeeper.Plan;
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.function.Consumer;
+
+/** A client's HTTP request. */
+final class HttpExchange implements Exchange {
+    private final HttpServerRequest request;
+    private final Asked asked;
+    private final Plan plan;
+
+    HttpExchange(HttpServerRequest request, Asked asked, Plan plan) {
+        this.request = request;
+        this.asked = asked;
+        this.plan = plan;
+    }
+
+    @Override
+    public Asked asked() {
+        return asked;
+    }
+
+    @Override
+    public void serve(int status, MultiMap headers, Buffer body) {
+        HttpServerResponse response = request.response();
+        if (response.closed()) {
+            return;
+        }
+        response.setStatusCode(status);
+        response.headers().addAll(headers);
+        if (request.method() == HttpMethod.HEAD || status == 204 || status == 304) {
+            response.end();
+        } else {
+            response.putHeader("content-length", Integer.toString(body.length()));
+            response.end(body);
+        }
+    }
+
+    @Override
+    public void stream(HttpClientResponse answer, Buffer soFar, Consumer<Throwable> ended) {
+        HttpServerResponse response = request.response();
+        response.setStatusCode(answer.statusCode());
+        response.headers().addAll(Headers.forwarded(answer.headers()));
+        response.setChunked(!response.headers().contains("content-length"));
+        if (soFar.length() > 0) {
+            response.write(soFar);
+        }
+        answer.pipe().endOnFailure(false).to(response).onComplete(done -> ended.accept(done.cause()));
+    }
+
+    /** 429 with {@code Retry-After} and the fields of draft-ietf-httpapi-ratelimit-headers-10. */
+    @Override
+    public void refuse(long retryAfterMicros) {
+        long seconds = Math.max(1, (retryAfterMicros + 999_999) / 1_000_000);
+        HttpServerResponse response = request.response();
+        response.putHeader("retry-after", Long.toString(seconds));
+        if (plan != null && plan.rate() > 0) {
+            String name = '"' + plan.name().replaceAll("[^ !#-\\[\\]-~]", "") + '"';
+            response.putHeader("ratelimit-policy", name + ";q=" + (long) Math.floor(plan.storeSize()) + ";w="
+                    + Math.max(1, (long) Math.ceil(plan.storeSize() / plan.rate())));
+            response.putHeader("ratelimit", name + ";r=0;t=" + seconds);
+        }
+        new Problem(429, "refused", "Refused", "Turned away; trying again after " + seconds
+                + " s is harmless.").answer(request);
+    }
+
+    @Override
+    public void fail(int status, String reason) {
+        new Problem(status, "failed", status == 504 ? "No answer in time" : "No usable answer",
+                "The request may have had its effect: " + reason + ".").answer(request);
+    }
+
+    @Override
+    public void abort() {
+        if (!request.response().ended()) {
+            request.response().reset(2);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/fawndock/settings/Line.java
@@ -0,0 +1,10 @@
+package fawndock.settings;
+
+import java.util.List;
+
+/** One line that says something: its first word is the keyword, the others its arguments. */
+record Line(String file, int number, List<String> words) {
+    String keyword() {
+        return words.get(0);
+    }
+}
--- /dev/null
+++ b/src/main/java/fawndock/settings/Mistake.java
@@ -0,0 +1,16 @@
+package fawndock.settings;
+
+/**
+ * Something wrong in a settings file.
+ *
+ * @param file the file as it was named
+ * @param line its line, from 1; 0 for the file as a whole
+ * @param wrong what is wrong
+ * @param expected what would be right
+ */
+public record Mistake(String file, int line, String wrong, String expected) {
+    @Override
+    public String toString() {
+        return file + ":" + line + ": " + wrong + ", expected " + expected;
+    }
+}
--- /dev/null
+++ b/src/main/java/fawndock/settings/SettingsFile.java
@@ -0,0 +1,380 @@
+package fawndock.settings;
+
+import fawndock.Gatekeeper.Group;
+import fawndock.Gatekeeper.Limits;
+import fawndock.Gatekeeper.Plan;
+import fawndock.Gatekeeper.Repeat;
+import fawndock.Gatekeeper.RequestClass;
+import fawndock.Gatekeeper.Rules;
+import fawndock.settings.DaemonSettings.CounterParts;
+import fawndock.settings.DaemonSettings.FixedServer;
+import fawndock.settings.DaemonSettings.Http;
+import fawndock.settings.DaemonSettings.Key;
+import fawndock.settings.DaemonSettings.Log;
+import fawndock.settings.DaemonSettings.Peers;
+import fawndock.settings.DaemonSettings.RosterSource;
+import fawndock.settings.DaemonSettings.Route;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * Reads the daemon's settings. Every keyword that may stand in a file is in {@link #keywords}; what each means is
+ * in the operators' manual.
+ */
+public final class SettingsFile {
+    private static final long HOUR = 3_600_000_000L;
+    private static final double MANY = 1e9;
+    private static final Set<String> OFTEN = Set.of("class", "plan", "key", "route", "peer", "server");
+    private final List<Mistake> mistakes = new ArrayList<>();
+    private final Map<String, Consumer<Line>> keywords = new LinkedHashMap<>();
+    private final Map<String, Line> seen = new HashMap<>();
+    private final List<Runnable> crossChecks = new ArrayList<>();
+
+    private Address listen;
+    private int instances = 1;
+    private int first;
+    private int fleet = 1;
+    private long seed = 1;
+    private String zone = "";
+    private final Map<String, RequestClass> classes = new LinkedHashMap<>();
+    private final Map<String, Plan> plans = new LinkedHashMap<>();
+    private final Map<String, Key> keys = new LinkedHashMap<>();
+    private final List<Route> routes = new ArrayList<>();
+    private final Map<String, FixedServer> servers = new LinkedHashMap<>();
+    private final Map<Integer, Address> others = new TreeMap<>();
+    private Address peerListen;
+    private int peerIntake = 100;
+    private Limits limits = new Limits(3, 10_000, 30_000_000, false, true, false, true, true);
+    private Rules rules = new Rules(10_000, 2_000_000, 0.2, 10_000_000, 2, 2_000_000, 10_000_000);
+    private CounterParts counter = new CounterParts(List.of(), 50_000, false, 4096);
+    private Address roster;
+    private long rosterSilence = 5_000_000;
+    private boolean rosterAsk;
+    private String keyHeader = "x-api-key";
+    private String deadlineHeader = "x-envoy-expected-rq-timeout-ms";
+    private String attemptHeader = "x-envoy-attempt-count";
+    private String unitsHeader = "";
+    private double mostUnits = 1;
+    private int bodyLimit = 64 << 10;
+    private int answerLimit = 1 << 20;
+    private int connections = 2;
+    private int streams = 250;
+    private long connectMicros = 1_000_000;
+    private long stopMicros = 30_000_000;
+    private int maxConnections = 20_000;
+    private Log log = new Log(false, "info");
+
+    private SettingsFile() {
+        keywords.put("listen", line -> {
+            Args a = args(line, 1, "listen HOST:PORT");
+            listen = a.good() ? a.addressOf(a.place(0)) : new Address("", 0);
+            a.finish();
+        });
+        keywords.put("instances", line -> {
+            Args a = args(line, 1, "instances NUMBER");
+            instances = a.wholeOf("instances", a.place(0), 1, 64, 1);
+            a.finish();
+        });
+        keywords.put("gatekeeper", line -> {
+            Args a = args(line, 1, "gatekeeper NUMBER of FLEET");
+            first = a.wholeOf("gatekeeper", a.place(0), 0, 9_999, 0);
+            fleet = a.whole("of", 1, 10_000, 1);
+            a.finish();
+            check(a, () -> first + instances <= fleet, "gatekeepers " + first + " to " + (first + instances - 1)
+                    + " are not all below the fleet's " + fleet, "NUMBER + instances at most FLEET");
+        });
+        keywords.put("seed", line -> {
+            Args a = args(line, 1, "seed NUMBER");
+            seed = a.wholeOf("seed", a.place(0), 0, 999_999_999, 1);
+            a.finish();
+        });
+        keywords.put("zone", line -> {
+            Args a = args(line, 1, "zone NAME");
+            zone = a.place(0);
+            a.finish();
+        });
+        keywords.put("class", this::requestClass);
+        keywords.put("plan", this::plan);
+        keywords.put("key", this::key);
+        keywords.put("route", this::route);
+        keywords.put("server", this::server);
+        keywords.put("limits", this::limits);
+        keywords.put("rules", this::rules);
+        keywords.put("counter", this::counter);
+        keywords.put("counter-limits", this::counterLimits);
+        keywords.put("roster", line -> {
+            Args a = args(line, 1, "roster HOST:PORT [silence TIME] [must-ask yes|no]");
+            roster = a.good() ? a.addressOf(a.place(0)) : null;
+            rosterSilence = a.time("silence", 100_000, HOUR, 5_000_000);
+            rosterAsk = a.flag("must-ask", false);
+            a.finish();
+        });
+        keywords.put("peer", line -> {
+            Args a = args(line, 2, "peer NUMBER HOST:PORT");
+            int number = a.wholeOf("peer", a.place(0), 0, 9_999, 0);
+            if (a.good() && others.put(number, a.addressOf(a.place(1))) != null) {
+                a.wrong("peer " + number + " is given twice", "each peer once");
+            }
+            a.finish();
+            check(a, () -> number < fleet, "peer " + number + " is not in a fleet of " + fleet,
+                    "a number below the fleet's size");
+        });
+        keywords.put("peer-listen", line -> {
+            Args a = args(line, 1, "peer-listen HOST:PORT [intake MESSAGES-A-SECOND]");
+            peerListen = a.good() ? a.addressOf(a.place(0)) : null;
+            peerIntake = a.whole("intake", 1, 100_000, 100);
+            a.finish();
+        });
+        keywords.put("headers", line -> {
+            Args a = args(line, 0, "headers [key NAME] [deadline NAME] [attempt NAME] [units NAME most NUMBER]");
+            keyHeader = header(a, "key", keyHeader);
+            deadlineHeader = header(a, "deadline", deadlineHeader);
+            attemptHeader = header(a, "attempt", attemptHeader);
+            unitsHeader = header(a, "units", "");
+            mostUnits = a.number("most", 1e-6, MANY, 1);
+            a.finish();
+        });
+        keywords.put("sizes", line -> {
+            Args a = args(line, 0, "sizes [body SIZE] [answer SIZE]");
+            bodyLimit = (int) a.sizeOf("body", a.word("body", "64KiB"), 64 << 20);
+            answerLimit = (int) a.sizeOf("answer", a.word("answer", "1MiB"), 64 << 20);
+            a.finish();
+        });
+        keywords.put("pool", line -> {
+            Args a = args(line, 0, "pool [connections NUMBER] [streams NUMBER] [connect TIME]");
+            connections = a.whole("connections", 1, 1_000, 2);
+            streams = a.whole("streams", 1, 100_000, 250);
+            connectMicros = a.time("connect", 1_000, 60_000_000, 1_000_000);
+            a.finish();
+        });
+        keywords.put("stop", line -> {
+            Args a = args(line, 1, "stop TIME");
+            stopMicros = a.timeOf("stop", a.place(0), 0, HOUR, 30_000_000);
+            a.finish();
+        });
+        keywords.put("max-connections", line -> {
+            Args a = args(line, 1, "max-connections NUMBER");
+            maxConnections = a.wholeOf("max-connections", a.place(0), 1, 1_000_000, 20_000);
+            a.finish();
+        });
+        keywords.put("log", line -> {
+            Args a = args(line, 1, "log text|json [level error|warn|info|debug]");
+            if (!a.place(0).matches("text|json")) {
+                a.wrong("log form '" + a.place(0) + "'", "text or json");
+            }
+            String level = a.word("level", "info");
+            if (!level.matches("error|warn|info|debug")) {
+                a.wrong("log level '" + level + "'", "error, warn, info or debug");
+            }
+            log = new Log(a.place(0).equals("json"), level);
+            a.finish();
+        });
+    }
+
+    /**
+     * Reads a settings file and all that it includes.
+     *
+     * @throws SettingsException with every mistake when there is any
+     */
+    public static DaemonSettings read(Path file) throws SettingsException {
+        return new SettingsFile().all(file);
+    }
+
+    private DaemonSettings all(Path file) throws SettingsException {
+        List<Line> lines = new LineReader(mistakes).read(file);
+        for (Line line : lines) {
+            Consumer<Line> reader = keywords.get(line.keyword());
+            Line before = OFTEN.contains(line.keyword()) ? null : seen.putIfAbsent(line.keyword(), line);
+            if (reader == null) {
+                mistakes.add(new Mistake(line.file(), line.number(), "unknown keyword '" + line.keyword() + "'",
+                        "one of " + String.join(" ", keywords.keySet()) + " include"));
+            } else if (before != null) {
+                mistakes.add(new Mistake(line.file(), line.number(), "'" + line.keyword() + "' stands already in "
+                        + before.file() + ":" + before.number(), "it once"));
+            } else {
+                reader.accept(line);
+            }
+        }
+        crossChecks.forEach(Runnable::run);
+        if (!lines.isEmpty() || mistakes.isEmpty()) {
+            missing(file, listen == null, "no listen", "listen HOST:PORT");
+            missing(file, classes.isEmpty(), "no class", "class NAME aim TIME deadline TIME");
+            missing(file, routes.isEmpty(), "no route", "route METHOD PATH CLASS");
+            missing(file, roster == null && servers.isEmpty(), "no roster and no server",
+                    "roster HOST:PORT, or server lines");
+        }
+        if (!mistakes.isEmpty()) {
+            throw new SettingsException(mistakes);
+        }
+        List<Route> longestFirst = new ArrayList<>(routes);
+        longestFirst.sort((a, b) -> b.prefix().length() - a.prefix().length());
+        return new DaemonSettings(listen, instances, first, fleet, seed, zone, List.copyOf(classes.values()),
+                List.copyOf(plans.values()), Map.copyOf(keys), List.copyOf(longestFirst), limits, rules, counter,
+                new RosterSource(roster, rosterSilence, rosterAsk, List.copyOf(servers.values())),
+                new Peers(peerListen, Map.copyOf(others), peerIntake),
+                new Http(keyHeader, deadlineHeader, attemptHeader, unitsHeader, mostUnits, bodyLimit, answerLimit,
+                        connections, streams, connectMicros, stopMicros, maxConnections), log);
+    }
+
+    private void missing(Path file, boolean isMissing, String what, String expected) {
+        if (isMissing) {
+            mistakes.add(new Mistake(file.toString(), 0, what, expected));
+        }
+    }
+
+    private Args args(Line line, int places, String form) {
+        return new Args(line, places, form, mistakes);
+    }
+
+    private void check(Args a, java.util.function.BooleanSupplier holds, String wrong, String expected) {
+        crossChecks.add(() -> {
+            if (!holds.getAsBoolean()) {
+                a.wrong(wrong, expected);
+            }
+        });
+    }
+
+    private String header(Args a, String what, String otherwise) {
+        String name = a.word(what, otherwise);
+        if (!name.isEmpty() && !name.matches("[A-Za-z0-9!#$%&'*+.^_`|~-]{1,64}")) {
+            a.wrong("'" + name + "' cannot be a header field's name", "letters, digits and -");
+        }
+        return name;
+    }
+
+    private void requestClass(Line line) {
+        Args a = args(line, 1, "class NAME aim TIME deadline TIME [worth N] [late-worth N] [repeat WORD] "
+                + "[group WORD] [window TIME] [streamed yes|no] [aim-stretch N]");
+        long deadline = a.time("deadline", 1_000, HOUR, 1_000_000);
+        RequestClass c = new RequestClass(a.place(0), a.time("aim", 1_000, HOUR, deadline),
+                a.number("aim-stretch", 0, MANY, 0), deadline, a.number("worth", 0, MANY, 1),
+                a.number("late-worth", 0, 1, 0), a.oneOf("repeat", Repeat.class, Repeat.AT_MOST_ONCE),
+                a.oneOf("group", Group.class, Group.CELL), a.time("window", 0, HOUR, 0),
+                a.flag("streamed", false));
+        if (c.aimMicros() > c.deadlineMicros()) {
+            a.wrong("the aim of " + c.name() + " is beyond its deadline", "aim at most deadline");
+        }
+        if (c.repeat() == Repeat.DEDUPLICATED && c.repeatWindowMicros() == 0) {
+            a.wrong("class " + c.name() + " is deduplicated without a window", "window TIME");
+        }
+        if (classes.putIfAbsent(c.name(), c) != null) {
+            a.wrong("class " + c.name() + " is given twice", "each class once");
+        }
+        a.finish();
+    }
+
+    private void plan(Line line) {
+        Args a = args(line, 1, "plan NAME [rate N] [store N] [open N] [pays N] [over-worth N] [over-cost N] "
+                + "[ceiling-rate N] [ceiling-burst N] [ceiling-slack N]");
+        Plan p = new Plan(a.place(0), a.number("rate", 0, MANY, 0), a.number("store", 0, MANY, 0),
+                a.whole("open", 0, 1_000_000, 0), a.number("pays", 0, MANY, 1), a.number("over-worth", 0, MANY, 0),
+                a.number("over-cost", 0, MANY, 0), a.number("ceiling-rate", 0, MANY, 0),
+                a.number("ceiling-burst", 0, MANY, 0), a.number("ceiling-slack", 0, MANY, 0));
+        if (p.rate() > 0 && p.storeSize() <= 0) {
+            a.wrong("plan " + p.name() + " has a rate and no store", "store N above 0");
+        }
+        if (p.ceilingRate() > 0 && p.ceilingBurst() <= 0) {
+            a.wrong("plan " + p.name() + " has a ceiling-rate and no ceiling-burst", "ceiling-burst N above 0");
+        }
+        if (plans.putIfAbsent(p.name(), p) != null) {
+            a.wrong("plan " + p.name() + " is given twice", "each plan once");
+        }
+        a.finish();
+    }
+
+    private void key(Line line) {
+        Args a = args(line, 1, "key KEY customer NAME plan NAME [first NUMBER spread NUMBER]");
+        Key key = new Key(a.word("customer", ""), a.word("plan", ""), a.whole("first", 0, 9_999, 0),
+                a.whole("spread", 0, 10_000, 0));
+        if (a.good() && (key.customer().isEmpty() || key.plan().isEmpty())) {
+            a.wrong("a key without customer or plan", "key KEY customer NAME plan NAME");
+        }
+        if (keys.putIfAbsent(a.place(0), key) != null) {
+            a.wrong("this key is given twice", "each key once");
+        }
+        a.finish();
+        check(a, () -> key.plan().isEmpty() || plans.containsKey(key.plan()), "there is no plan '" + key.plan()
+                + "'", "the name of a plan line");
+        check(a, () -> key.spread() <= fleet && key.first() < fleet, "a spread beyond the fleet's " + fleet
+                + " gatekeepers", "first below it, spread at most it");
+    }
+
+    private void route(Line line) {
+        Args a = args(line, 3, "route METHOD PATH CLASS");
+        Route route = new Route(a.place(0), a.place(1), a.place(2));
+        if (a.good() && !route.prefix().startsWith("/")) {
+            a.wrong("path '" + route.prefix() + "'", "a path that starts with /");
+        }
+        if (a.good() && !route.method().matches("\\*|[A-Z]+")) {
+            a.wrong("method '" + route.method() + "'", "a method in capitals, or *");
+        }
+        if (routes.stream().anyMatch(r -> r.method().equals(route.method()) && r.prefix().equals(route.prefix()))) {
+            a.wrong("route " + route.method() + " " + route.prefix() + " is given twice", "each route once");
+        }
+        routes.add(route);
+        a.finish();
+        check(a, () -> route.requestClass().isEmpty() || classes.containsKey(route.requestClass()),
+                "there is no class '" + route.requestClass() + "'", "the name of a class line");
+    }
+
+    private void server(Line line) {
+        Args a = args(line, 2, "server ID HOST:PORT [zone NAME] [cell NUMBER] [weight N]");
+        FixedServer s = new FixedServer(a.place(0), a.good() ? a.addressOf(a.place(1)) : new Address("", 0),
+                a.word("zone", ""), a.whole("cell", 0, 1_000_000, 0), a.number("weight", 1e-6, MANY, 1));
+        if (servers.putIfAbsent(s.id(), s) != null) {
+            a.wrong("server " + s.id() + " is given twice", "each server once");
+        }
+        a.finish();
+    }
+
+    private void limits(Line line) {
+        Args a = args(line, 0, "limits [attempts N] [open N] [retry-after TIME] [duplicates yes|no] "
+                + "[cancel yes|no] [probes yes|no] [peers yes|no]");
+        limits = new Limits(a.whole("attempts", 1, 100, 3), a.whole("open", 1, 1_000_000, 10_000),
+                a.time("retry-after", 0, HOUR, 30_000_000), a.flag("duplicates", false), a.flag("cancel", true),
+                a.flag("probes", false), a.flag("peers", true), true);
+        a.finish();
+    }
+
+    private void rules(Line line) {
+        Args a = args(line, 0, "rules [answer-grace TIME] [drain-grace TIME] [cold-share N] [cold-time TIME] "
+                + "[fall-multiple N] [fall-time TIME] [ask-within TIME]");
+        rules = new Rules(a.time("answer-grace", 0, HOUR, 10_000), a.time("drain-grace", 0, HOUR, 2_000_000),
+                a.number("cold-share", 0, 1, 0.2), a.time("cold-time", 0, HOUR, 10_000_000),
+                a.number("fall-multiple", 1, MANY, 2), a.time("fall-time", 1_000, HOUR, 2_000_000),
+                a.time("ask-within", 1_000, HOUR, 10_000_000));
+        a.finish();
+    }
+
+    private void counter(Line line) {
+        List<Address> parts = new ArrayList<>();
+        Args a = args(line, line.words().size() - 1, "counter HOST:PORT [HOST:PORT ...]");
+        for (String each : line.words().subList(1, line.words().size())) {
+            Address address = a.addressOf(each);
+            if (parts.contains(address)) {
+                a.wrong("counter part " + address + " is given twice", "each part once");
+            }
+            parts.add(address);
+        }
+        if (parts.isEmpty()) {
+            a.wrong("counter names no part", "counter HOST:PORT [HOST:PORT ...]");
+        }
+        counter = new CounterParts(List.copyOf(new LinkedHashSet<>(parts)), counter.timeoutMicros(),
+                counter.settled(), counter.maxCalls());
+    }
+
+    private void counterLimits(Line line) {
+        Args a = args(line, 0, "counter-limits [timeout TIME] [calls NUMBER] [settled yes|no]");
+        counter = new CounterParts(counter.parts(), a.time("timeout", 1_000, 60_000_000, 50_000),
+                a.flag("settled", false), a.whole("calls", 1, 1_000_000, 4096));
+        a.finish();
+    }
+}
