--- a/src/main/java/fawndock/standin/Worker.java
+++ b/src/main/java/fawndock/standin/Worker.java
@@ -9,9 +9,7 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.ArrayDeque;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Set;
 
 /**
@@ -49,7 +47,7 @@
     private final ArrayDeque<HttpServerRequest> waiting = new ArrayDeque<>();
     private final ArrayDeque<Long> arrivals = new ArrayDeque<>();
     private final Set<HttpConnection> connections = new HashSet<>();
-    private final Map<String, Long> keys = new HashMap<>();
+    private Set<String> keys = new HashSet<>();
     private HttpServer server;
     private int port;
     private int busy;
@@ -116,7 +114,7 @@
     /** Tells every connection to go away: streams up to the last one still run. */
     public Future<Void> drain() {
         return onContext(() -> {
-            connections.forEach(c -> c.shutdown(java.util.concurrent.TimeUnit.SECONDS.toMillis(30)));
+            connections.forEach(c -> c.shutdown(30, java.util.concurrent.TimeUnit.SECONDS));
             return Future.succeededFuture();
         });
     }
@@ -129,6 +127,12 @@
         });
     }
 
+    /** Drops repeats together with others that use the same set; it must be safe for several threads. */
+    public Worker droppingRepeatsBy(Set<String> shared) {
+        keys = shared;
+        return this;
+    }
+
     /** The size of each answer's body in bytes. */
     public Worker answerBytes(int bytes) {
         body = bytes;
@@ -146,7 +150,11 @@
         int mine = life;
         boolean refuse = random.nextDouble() < faults.refuses || waiting.size() >= build.queue();
         recorder.add(new Seen.Arrived(Recorder.now(), name, id, mine, refuse));
-        if (pushedOver() || faults.silent) {
+        if (pushedOver()) {
+            die();
+            return;
+        }
+        if (faults.silent) {
             return;
         }
         if (refuse) {
@@ -204,12 +212,9 @@
         String name = request.getHeader("x-request-id");
         String key = request.getHeader("idempotency-key");
         long now = Recorder.now();
-        if (key == null || keys.putIfAbsent(key, now) == null) {
+        if (key == null || keys.add(key)) {
             recorder.add(new Seen.Ran(now, name, id));
         }
-        if (keys.size() > 100_000) {
-            keys.clear();
-        }
         if (random.nextDouble() < faults.loseAnswers || request.response().closed()) {
             return;
         }
