--- a/src/main/java/fawndock/Main.java
+++ b/src/main/java/fawndock/Main.java
@@ -3,17 +3,22 @@
 import fawndock.benchlink.BenchLink;
 import java.io.IOException;
 
-/** The command line: {@code benchlink} speaks the simulator's wire on standard input and output. */
+/**
+ * The way in. {@code benchlink} speaks the simulator's wire on standard input and output and loads nothing of the
+ * daemon; every other command is {@link fawndock.cli.Commands}'.
+ */
 public final class Main {
     private Main() {
     }
 
     /** Runs the named subcommand. */
     public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: java -jar fawndock.jar benchlink");
-            System.exit(2);
+        if (args.length == 1 && args[0].equals("benchlink")) {
+            System.exit(new BenchLink().run(System.in, System.out, System.err));
+        }
+        int code = fawndock.cli.Commands.run(args);
+        if (code >= 0) {
+            System.exit(code);
         }
-        System.exit(new BenchLink().run(System.in, System.out, System.err));
     }
 }
--- /dev/null
+++ b/src/main/java/fawndock/cli/Logs.java
@@ -0,0 +1,67 @@
+package fawndock.cli;
+
+import ch.qos.logback.classic.AsyncAppender;
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.Encoder;
+import fawndock.settings.DaemonSettings.Log;
+import java.util.TimeZone;
+import net.logstash.logback.encoder.LogstashEncoder;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Sets up logging on standard error, as text or JSON lines. Lines pass through a bounded queue, so that a reader who
+ * stops does not stop an event loop: when it is full, lines are dropped rather than waited for.
+ */
+final class Logs {
+    private static final int QUEUE = 16_384;
+
+    private Logs() {
+    }
+
+    static void to(Log log) {
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        context.reset();
+        ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
+        console.setContext(context);
+        console.setTarget("System.err");
+        console.setEncoder(log.json() ? json(context) : text(context));
+        console.start();
+        AsyncAppender queue = new AsyncAppender();
+        queue.setContext(context);
+        queue.setQueueSize(QUEUE);
+        queue.setDiscardingThreshold(0);
+        queue.setNeverBlock(true);
+        queue.addAppender(console);
+        queue.start();
+        Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
+        root.setLevel(Level.WARN);
+        root.addAppender(queue);
+        context.getLogger("fawndock").setLevel(Level.toLevel(log.level()));
+    }
+
+    /** Writes out what is still queued. */
+    static void flush() {
+        ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+    }
+
+    private static Encoder<ILoggingEvent> json(LoggerContext context) {
+        LogstashEncoder encoder = new LogstashEncoder();
+        encoder.setContext(context);
+        encoder.setTimeZone(TimeZone.getTimeZone("UTC").getID());
+        encoder.start();
+        return encoder;
+    }
+
+    private static Encoder<ILoggingEvent> text(LoggerContext context) {
+        PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+        encoder.setContext(context);
+        encoder.setPattern("%d{\"yyyy-MM-dd'T'HH:mm:ss.SSS'Z'\", UTC} %-5level %logger{0} %msg%n");
+        encoder.start();
+        return encoder;
+    }
+}
--- /dev/null
+++ b/src/main/java/fawndock/drill/Gatekeepers.java
@@ -0,0 +1,142 @@
+package fawndock.drill;
+
+import fawndock.standin.Recorder;
+import fawndock.standin.Seen;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** Gatekeepers in processes of their own, each with a settings file in one folder. Ends its own processes only. */
+public final class Gatekeepers implements AutoCloseable {
+    private static final int START_SECONDS = 30;
+    private final Path folder;
+    private final Recorder recorder;
+    private final Map<Integer, Process> processes = new TreeMap<>();
+    private final Map<Integer, Integer> ports = new TreeMap<>();
+    private final Thread hook = new Thread(this::end, "end gatekeepers");
+
+    public Gatekeepers(Path folder, Recorder recorder) {
+        this.folder = folder;
+        this.recorder = recorder;
+        Runtime.getRuntime().addShutdownHook(hook);
+    }
+
+    /** A loopback port that is free now. */
+    public static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Keeps the settings of a gatekeeper and the port on which they say that it listens. */
+    public void settings(int number, int port, String text) throws IOException {
+        ports.put(number, port);
+        Files.writeString(folder.resolve("gatekeeper-" + number + ".conf"), text);
+    }
+
+    public int port(int number) {
+        return ports.get(number);
+    }
+
+    public List<Integer> numbers() {
+        return new ArrayList<>(ports.keySet());
+    }
+
+    /** Starts one; completes when it says that it listens. */
+    public CompletableFuture<Void> start(int number) throws IOException {
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        Process process = new ProcessBuilder(java, "-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp",
+                System.getProperty("java.class.path"), "fawndock.Main", "run", "-c",
+                folder.resolve("gatekeeper-" + number + ".conf").toString())
+                .redirectError(ProcessBuilder.Redirect.appendTo(
+                        folder.resolve("gatekeeper-" + number + ".log").toFile()))
+                .start();
+        synchronized (processes) {
+            processes.put(number, process);
+        }
+        CompletableFuture<Void> listening = new CompletableFuture<>();
+        Thread reader = new Thread(() -> {
+            try (BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(),
+                    StandardCharsets.UTF_8))) {
+                for (String line = out.readLine(); line != null; line = out.readLine()) {
+                    if (line.startsWith("fawndock listens")) {
+                        listening.complete(null);
+                    }
+                }
+            } catch (IOException e) {
+                listening.completeExceptionally(e);
+            }
+            listening.completeExceptionally(new IOException("gatekeeper " + number + " ended at its start; see "
+                    + folder.resolve("gatekeeper-" + number + ".log")));
+        }, "gatekeeper " + number);
+        reader.setDaemon(true);
+        reader.start();
+        return listening.orTimeout(START_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** Starts all that have settings and waits for them. */
+    public void startAll() throws IOException {
+        List<CompletableFuture<Void>> starting = new ArrayList<>();
+        for (int number : numbers()) {
+            starting.add(start(number));
+        }
+        try {
+            CompletableFuture.allOf(starting.toArray(CompletableFuture[]::new)).get(START_SECONDS, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new IOException(e.getCause() == null ? "gatekeepers did not start" : e.getCause().getMessage(), e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    /** Kills one outright (SIGKILL). */
+    public void kill(int number) {
+        synchronized (processes) {
+            Process process = processes.remove(number);
+            if (process != null) {
+                recorder.add(new Seen.Killed(Recorder.now(), number));
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    /** Asks one to end (SIGTERM); returns its exit code, or -1 when it took longer than so many seconds. */
+    public int terminate(int number, int seconds) throws InterruptedException {
+        Process process;
+        synchronized (processes) {
+            process = processes.remove(number);
+        }
+        process.destroy();
+        return process.waitFor(seconds, TimeUnit.SECONDS) ? process.exitValue() : -1;
+    }
+
+    private void end() {
+        synchronized (processes) {
+            processes.values().forEach(Process::destroyForcibly);
+            processes.clear();
+        }
+    }
+
+    @Override
+    public void close() {
+        end();
+        try {
+            Runtime.getRuntime().removeShutdownHook(hook);
+        } catch (IllegalStateException e) {
+            // Ending already.
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/fawndock/drill/Scene.java
@@ -0,0 +1,115 @@
+package fawndock.drill;
+
+import fawndock.standin.CounterStandIn;
+import fawndock.standin.Recorder;
+import fawndock.standin.Roster;
+import fawndock.standin.Worker;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.stream.Stream;
+
+/** Everything that surrounds the gatekeepers of a drill, and the gatekeepers' processes. */
+public final class Scene implements AutoCloseable {
+    private static final int WAIT_SECONDS = 20;
+    public final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(4));
+    public final Recorder recorder = new Recorder();
+    public final Roster roster = new Roster(vertx, recorder);
+    public final CounterStandIn counter;
+    public final List<Worker> workers = new ArrayList<>();
+    public final Gatekeepers gatekeepers;
+    private final Path folder;
+    private boolean closed;
+
+    /** Workers of one build, warm and listed as running, and a counter. */
+    public Scene(int count, Worker.Build build, long seed) throws IOException, InterruptedException {
+        folder = Files.createTempDirectory("fawndock-drill");
+        gatekeepers = new Gatekeepers(folder, recorder);
+        counter = new CounterStandIn().start();
+        Set<String> keys = ConcurrentHashMap.newKeySet();
+        for (int i = 0; i < count; i++) {
+            Worker worker = new Worker(vertx, "worker-" + i, build, recorder, seed * 1_000 + i)
+                    .droppingRepeatsBy(keys);
+            workers.add(worker);
+            await(worker.start(false));
+            roster.tell(entry(i, "running"));
+        }
+    }
+
+    /** How the roster lists a worker. */
+    public Roster.Entry entry(int worker, String state) {
+        Worker w = workers.get(worker);
+        return new Roster.Entry(w.id(), w.port(), "here", worker / 4, state, w.startedAt());
+    }
+
+    /**
+     * Adds gatekeepers, each with a port of its own, a roster of its own and the others as peers.
+     *
+     * @param common lines that all of their settings have
+     */
+    public void gatekeepers(int count, String common) throws IOException {
+        List<Integer> ports = new ArrayList<>();
+        List<Integer> peerPorts = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            ports.add(Gatekeepers.freePort());
+            peerPorts.add(Gatekeepers.freePort());
+        }
+        for (int i = 0; i < count; i++) {
+            StringBuilder text = new StringBuilder("listen 127.0.0.1:" + ports.get(i) + "\ngatekeeper " + i + " of "
+                    + count + "\nseed 7\ncounter 127.0.0.1:" + counter.port() + "\nroster 127.0.0.1:"
+                    + await(roster.listen(i)) + " silence 3s\npeer-listen 127.0.0.1:" + peerPorts.get(i) + "\n");
+            for (int j = 0; j < count; j++) {
+                text.append("peer ").append(j).append(" 127.0.0.1:").append(peerPorts.get(j)).append('\n');
+            }
+            gatekeepers.settings(i, ports.get(i), text + common);
+        }
+    }
+
+    /** Waits for something of the stand-ins. */
+    public static <T> T await(Future<T> what) throws IOException {
+        try {
+            return what.toCompletionStage().toCompletableFuture().get(WAIT_SECONDS, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new IOException("a stand-in failed: " + e.getCause(), e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    /** Where the settings and logs of the gatekeepers are. */
+    public Path folder() {
+        return folder;
+    }
+
+    /** Deletes the gatekeepers' settings and logs. */
+    public void clean() throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path each : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(each);
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        gatekeepers.close();
+        counter.close();
+        await(vertx.close());
+    }
+}
--- /dev/null
+++ b/src/main/java/fawndock/drill/Traffic.java
@@ -0,0 +1,147 @@
+package fawndock.drill;
+
+import fawndock.Gatekeeper.Repeat;
+import fawndock.standin.RawClient;
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLongArray;
+import java.util.function.IntUnaryOperator;
+
+/**
+ * Open-loop traffic of a few customers: Poisson arrivals, each to a gatekeeper by chance, and clients that try again
+ * as their class allows, some of which leave early. A generator of its own for drills and the demo.
+ */
+public final class Traffic {
+    /** A customer and how much it asks, requests a second. */
+    public record Customer(String name, String key, double rate) {
+    }
+
+    /** A kind of request and its share of all. */
+    public record Kind(String type, String method, String path, Repeat repeat, long remainingMicros, double share) {
+    }
+
+    private static final int MOST_TRIES = 3;
+    private static final int MOST_AT_ONCE = 4_000;
+    private final Vertx vertx;
+    private final RawClient client;
+    private final List<Kind> kinds;
+    private final List<Customer> customers;
+    private final IntUnaryOperator port;
+    private final int gatekeepers;
+    private final SplittableRandom random;
+    private final AtomicInteger open = new AtomicInteger();
+    private final AtomicLongArray statuses = new AtomicLongArray(600);
+    private double factor = 1;
+    private double leaving;
+    private double debt;
+    private long operations;
+    private long lastTick;
+    private long timer = -1;
+
+    /** @param port of each gatekeeper by its number */
+    public Traffic(Vertx vertx, RawClient client, List<Kind> kinds, List<Customer> customers, int gatekeepers,
+                   IntUnaryOperator port, long seed) {
+        this.vertx = vertx;
+        this.client = client;
+        this.kinds = kinds;
+        this.customers = customers;
+        this.gatekeepers = gatekeepers;
+        this.port = port;
+        this.random = new SplittableRandom(seed);
+    }
+
+    /** Begins; on the event loop of the caller's context from then on. */
+    public void start() {
+        lastTick = System.nanoTime();
+        timer = vertx.setPeriodic(2, id -> tick());
+    }
+
+    /** Nothing new is asked; tries again still are. */
+    public void stop() {
+        vertx.cancelTimer(timer);
+    }
+
+    /** All customers ask so many times as much from now on. */
+    public void factor(double times) {
+        factor = times;
+    }
+
+    /** This share of the clients leaves early and tries again at once from now on. */
+    public void leaving(double share) {
+        leaving = share;
+    }
+
+    /** Requests without an end. */
+    public int open() {
+        return open.get();
+    }
+
+    /** Final answers with this status so far; 0 counts those that had none. */
+    public long ended(int status) {
+        return statuses.get(status);
+    }
+
+    private void tick() {
+        long now = System.nanoTime();
+        double seconds = Math.min(0.5, (now - lastTick) / 1e9);
+        lastTick = now;
+        double rate = customers.stream().mapToDouble(Customer::rate).sum();
+        debt += rate * factor * seconds;
+        while (debt > 0) {
+            debt += Math.log(1 - random.nextDouble()); // Gaps between arrivals are exponential, of mean 1 here.
+            ask(pick(rate), kind(), "op" + operations++, 0);
+        }
+    }
+
+    private Customer pick(double rate) {
+        double at = random.nextDouble() * rate;
+        for (Customer each : customers) {
+            at -= each.rate();
+            if (at < 0) {
+                return each;
+            }
+        }
+        return customers.get(customers.size() - 1);
+    }
+
+    private Kind kind() {
+        double at = random.nextDouble();
+        for (Kind each : kinds) {
+            at -= each.share();
+            if (at < 0) {
+                return each;
+            }
+        }
+        return kinds.get(kinds.size() - 1);
+    }
+
+    private void ask(Customer customer, Kind kind, String operation, int attempt) {
+        if (open.get() >= MOST_AT_ONCE) {
+            return; // Not offered: the machine is behind.
+        }
+        open.incrementAndGet();
+        int gatekeeper = random.nextInt(gatekeepers);
+        boolean leaves = kind.repeat() != Repeat.AT_MOST_ONCE && random.nextDouble() < leaving;
+        String key = kind.repeat() == Repeat.DEDUPLICATED ? operation : null;
+        client.send(new RawClient.Call(operation + "." + attempt, gatekeeper, port.applyAsInt(gatekeeper),
+                kind.method(), kind.path(), kind.type(), customer.key(), customer.name(), 1,
+                kind.remainingMicros(), key, leaves ? 5_000 + random.nextInt(60_000) : 0), end -> {
+            open.decrementAndGet();
+            statuses.incrementAndGet(end.status());
+            again(customer, kind, operation, attempt, end);
+        });
+    }
+
+    private void again(Customer customer, Kind kind, String operation, int attempt, RawClient.End end) {
+        // A request that may have run is the client's to repeat only when its class allows that.
+        boolean harmless = end.status() == 429 || end.status() == 503 || kind.repeat() == Repeat.IDEMPOTENT && end.status() != 200;
+        if (attempt + 1 >= MOST_TRIES || end.status() == 200 || !harmless && !end.left()) {
+            return;
+        }
+        long wait = end.left() ? 1 : end.status() == 429 && random.nextBoolean()
+                ? 1_000L * Math.max(1, end.retryAfter()) : 50 + random.nextInt(200);
+        vertx.setTimer(wait, id -> ask(customer, kind, operation, attempt + 1));
+    }
+}
--- a/src/main/java/fawndock/gateway/AnswerLog.java
+++ b/src/main/java/fawndock/gateway/AnswerLog.java
@@ -10,13 +10,15 @@
 final class AnswerLog {
     private static final Logger LOG = LoggerFactory.getLogger("fawndock.answers");
     private final int gatekeeper;
+    private final boolean on;
 
-    AnswerLog(int gatekeeper) {
+    AnswerLog(int gatekeeper, boolean on) {
         this.gatekeeper = gatekeeper;
+        this.on = on;
     }
 
     void answered(OpenRequest request, long now, String verdict, int status, String reason) {
-        if (LOG.isInfoEnabled()) {
+        if (on && LOG.isInfoEnabled()) {
             Asked a = request.exchange.asked();
             LOG.info("{} {} {} {} {} {} {} {} {} {} {} {}", kv("request", request.id), kv("label", a.label()),
                     kv("gatekeeper", gatekeeper), kv("class", a.type().name()), kv("plan", a.plan()),
@@ -28,7 +30,7 @@
 
     /** A request that was answered without asking the gatekeeper. */
     void turnedAway(String label, int status, String reason) {
-        if (LOG.isInfoEnabled()) {
+        if (on && LOG.isInfoEnabled()) {
             LOG.info("{} {} {} {} {}", kv("label", label), kv("gatekeeper", gatekeeper),
                     kv("verdict", "turned away"), kv("reason", reason), kv("status", status));
         }
--- a/src/main/java/fawndock/gateway/CounterPart.java
+++ b/src/main/java/fawndock/gateway/CounterPart.java
@@ -182,7 +182,7 @@
                 pause = FIRST_PAUSE;
                 inARow = 0;
                 RedisConnection mine = connection;
-                connection.exceptionHandler(e -> context.runOnContext(v -> lostIf(mine, String.valueOf(e.getMessage()))));
+                connection.exceptionHandler(e -> context.runOnContext(v -> lostIf(mine, e.getMessage() == null ? "closed" : e.getMessage())));
                 connection.endHandler(e -> context.runOnContext(v -> lostIf(mine, "closed")));
                 LOG.info("counter {} connected", address);
             }
--- a/src/main/java/fawndock/gateway/Ends.java
+++ b/src/main/java/fawndock/gateway/Ends.java
@@ -1,8 +1,6 @@
 package fawndock.gateway;
 
 import fawndock.Gatekeeper.Result;
-import io.vertx.core.http.GoAway;
-import io.vertx.core.http.HttpClosedException;
 import io.vertx.core.http.StreamResetException;
 
 /**
@@ -17,18 +15,17 @@
     private Ends() {
     }
 
-    /** The end of a stream that broke; {@code streamId} is 0 or less when none was opened. */
-    static Result broken(Throwable cause, int streamId) {
+    /**
+     * The end of a stream that broke.
+     *
+     * @param streamId 0 or less when none was opened
+     * @param lastStreamId the last stream that the connection's GOAWAY says may be processed; MAX_VALUE without one
+     */
+    static Result broken(Throwable cause, int streamId, int lastStreamId) {
         if (cause instanceof StreamResetException reset) {
             return reset.getCode() == REFUSED_STREAM ? Result.SHED : Result.RESET;
         }
-        if (cause instanceof HttpClosedException closed) {
-            GoAway goAway = closed.goAway();
-            boolean above = goAway != null && streamId > 0 && goAway.getLastStreamId() >= 0
-                    && streamId > goAway.getLastStreamId();
-            return above ? Result.SHED : Result.RESET;
-        }
-        return Result.RESET;
+        return streamId > lastStreamId ? Result.SHED : Result.RESET;
     }
 
     /** The end of an answer with this status: what a worker answered itself is served, unless it is an error. */
--- a/src/main/java/fawndock/gateway/GatekeeperHost.java
+++ b/src/main/java/fawndock/gateway/GatekeeperHost.java
@@ -25,7 +25,6 @@
 import fawndock.gateway.OpenRequest.Stage;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.RequestOptions;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -59,7 +58,7 @@
 
     private final MicroClock clock;
     private final Alarms alarms;
-    private final HttpClient workers;
+    private final WorkerPools workers;
     private final Links links;
     private final int maxAttempts;
     private final int answerLimit;
@@ -72,7 +71,7 @@
     private int open;
     private Runnable whenIdle;
 
-    GatekeeperHost(MicroClock clock, Alarms alarms, HttpClient workers, Links links, int maxAttempts,
+    GatekeeperHost(MicroClock clock, Alarms alarms, WorkerPools workers, Links links, int maxAttempts,
                    int answerLimit, AnswerLog answerLog) {
         this.clock = clock;
         this.alarms = alarms;
@@ -311,7 +310,7 @@
         return alarms;
     }
 
-    HttpClient workers() {
+    WorkerPools workers() {
         return workers;
     }
 
--- a/src/main/java/fawndock/gateway/GatekeeperNode.java
+++ b/src/main/java/fawndock/gateway/GatekeeperNode.java
@@ -11,12 +11,8 @@
 import io.vertx.core.Promise;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.http.Http2Settings;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
-import io.vertx.core.http.HttpVersion;
-import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -35,7 +31,7 @@
     private final AtomicInteger connections;
     private final Function<Settings, Gatekeeper> maker;
     private HttpServer server;
-    private HttpClient workers;
+    private WorkerPools workers;
     private Alarms alarms;
     private GatekeeperHost host;
     private CounterLink counter;
@@ -63,15 +59,8 @@
     public Future<?> start() {
         MicroClock clock = new MicroClock();
         alarms = new Alarms(vertx);
-        AnswerLog answerLog = new AnswerLog(me);
-        workers = vertx.createHttpClient(new HttpClientOptions()
-                .setProtocolVersion(HttpVersion.HTTP_2)
-                .setHttp2ClearTextUpgrade(false)
-                .setHttp2MultiplexingLimit(settings.http().streamsPerConnection())
-                .setTcpNoDelay(true)
-                .setConnectTimeout((int) Math.max(1, settings.http().connectMicros() / 1_000)),
-                new PoolOptions().setHttp2MaxSize(settings.http().connectionsPerServer())
-                        .setMaxWaitQueueSize(settings.limits().maxOpen()));
+        AnswerLog answerLog = new AnswerLog(me, true);
+        workers = new WorkerPools(vertx, settings);
         host = new GatekeeperHost(clock, alarms, workers, this, settings.limits().maxAttempts(),
                 settings.http().answerLimit(), answerLog);
         host.decideBy(maker.apply(new Settings(me, settings.fleet(), settings.seed() + me, ROUND_MICROS,
@@ -101,7 +90,9 @@
                 })
                 .requestHandler(front::handle);
         Future<?> heard = peers == null ? Future.succeededFuture() : peers.start();
-        return heard.compose(any -> server.listen(port, settings.listen().host())).onSuccess(s ->
+        // Roster and counter connect while it warms up: the first client then meets a gatekeeper that knows both.
+        return heard.compose(any -> new WarmUp(vertx, settings, maker).run())
+                .compose(any -> server.listen(port, settings.listen().host())).onSuccess(s ->
                 LOG.info("gatekeeper {} of {} listens on {}:{}", me, settings.fleet(), settings.listen().host(),
                         s.actualPort()));
     }
--- a/src/main/java/fawndock/gateway/WorkerAttempt.java
+++ b/src/main/java/fawndock/gateway/WorkerAttempt.java
@@ -116,7 +116,7 @@
 
     private void broken(Throwable cause) {
         if (stage == Stage.SENT) {
-            end(Ends.broken(cause, request.streamId()));
+            end(Ends.broken(cause, request.streamId(), host.workers().lastStream(request.connection())));
         }
     }
 
