--- a/src/main/java/fawndock/gateway/CounterPart.java
+++ b/src/main/java/fawndock/gateway/CounterPart.java
@@ -28,7 +28,7 @@
 
 /**
  * One part of the counter service, over one connection of the Redis serialization protocol at a time. A call is
- * {@code INCRBYFLOAT name amount} and {@code PEXPIRE name ms NX} sent as one; it is told exactly once, in the order
+ * {@code INCRBYFLOAT name amount} and {@code PEXPIRE name ms NX}, pipelined; it is told exactly once, in the order
  * of the calls: by its answer or by its time-out, whichever is first. One connection answers in order and a lost
  * connection ends all of its calls before the next is used, so that no total is given to another call.
  */
@@ -93,13 +93,13 @@
         call.timeOut = alarms.after(settings.timeoutMicros(), () -> timeOut(call));
         RedisConnection used = connection;
         long keepMillis = Math.max(1, (count.keepMicros() + 999) / 1_000);
-        used.batch(List.of(
-                Request.cmd(Command.INCRBYFLOAT).arg(count.name()).arg(Double.toString(count.amount())),
-                Request.cmd(Command.PEXPIRE).arg(count.name()).arg(keepMillis).arg("NX")))
+        // Two sends in one turn, not the client's batch: that tells a lost connection as if the server had refused.
+        used.send(Request.cmd(Command.INCRBYFLOAT).arg(count.name()).arg(Double.toString(count.amount())))
                 .onComplete(answer -> answered(used, call, answer));
+        used.send(Request.cmd(Command.PEXPIRE).arg(count.name()).arg(keepMillis).arg("NX"));
     }
 
-    private void answered(RedisConnection used, Call call, AsyncResult<List<Response>> answer) {
+    private void answered(RedisConnection used, Call call, AsyncResult<Response> answer) {
         if (used == connection) {
             inARow = 0;
         }
@@ -108,18 +108,21 @@
         }
         if (answer.succeeded()) {
             try {
-                end(call, Result.OK, Double.parseDouble(answer.result().get(0).toString()));
+                end(call, Result.OK, Double.parseDouble(answer.result().toString()));
             } catch (NumberFormatException | NullPointerException e) {
                 end(call, Result.TIMEOUT, 0); // Not a total, and the amount may have been added.
             }
         } else {
-            // An error to the first command is an answer: nothing was added. Any other end leaves that open.
-            boolean refused = answer.cause() instanceof ErrorType && answer.cause().getMessage() != null
-                    && answer.cause().getMessage().startsWith("ERR [0]");
-            end(call, refused ? Result.SHED : Result.TIMEOUT, 0);
+            end(call, refused(answer.cause()) ? Result.SHED : Result.TIMEOUT, 0);
         }
     }
 
+    /** Whether the server answered with an error, so that nothing was added; the client has errors of its own. */
+    private static boolean refused(Throwable cause) {
+        String text = cause instanceof ErrorType ? String.valueOf(cause.getMessage()) : "CONNECTION_CLOSED";
+        return !text.equals("CONNECTION_CLOSED") && !text.startsWith("ILLEGAL_STATE");
+    }
+
     private void timeOut(Call call) {
         end(call, Result.TIMEOUT, 0);
         inARow++;
--- a/src/main/java/fawndock/gateway/Daemon.java
+++ b/src/main/java/fawndock/gateway/Daemon.java
@@ -20,6 +20,7 @@
     private final Vertx vertx;
     private final List<GatekeeperNode> nodes = new ArrayList<>();
     private final AtomicInteger connections = new AtomicInteger();
+    private Future<Void> stopped;
 
     /** A daemon whose requests {@link Logic} decides. */
     public Daemon(DaemonSettings settings) {
@@ -36,7 +37,7 @@
      * Starts all gatekeepers; completes with the port on which clients are heard, or fails when one could not
      * listen. On any thread.
      */
-    public Future<Integer> start() {
+    public synchronized Future<Integer> start() {
         Future<Integer> started = Future.succeededFuture(settings.listen().port());
         for (int i = 0; i < settings.instances(); i++) {
             int me = settings.first() + i;
@@ -50,8 +51,11 @@
     }
 
     /** Answers what is open, then closes everything. Takes at most the stop time of the settings and 5 s. */
-    public Future<Void> stop() {
-        return Future.join(nodes.stream().map(GatekeeperNode::drain).toList()).transform(all -> vertx.close());
+    public synchronized Future<Void> stop() {
+        if (stopped == null) {
+            stopped = Future.join(nodes.stream().map(GatekeeperNode::drain).toList()).transform(all -> vertx.close());
+        }
+        return stopped;
     }
 
     /** Stops and waits for it; not to be called on an event loop. */
--- a/src/main/java/fawndock/settings/SettingsFile.java
+++ b/src/main/java/fawndock/settings/SettingsFile.java
@@ -16,6 +16,7 @@
 import fawndock.settings.DaemonSettings.Route;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -212,6 +213,9 @@
                     "roster HOST:PORT, or server lines");
         }
         if (!mistakes.isEmpty()) {
+            List<String> files = mistakes.stream().map(Mistake::file).distinct().toList();
+            mistakes.sort(Comparator.comparingInt((Mistake m) -> files.indexOf(m.file()))
+                    .thenComparingInt(Mistake::line));
             throw new SettingsException(mistakes);
         }
         List<Route> longestFirst = new ArrayList<>(routes);
--- a/src/main/java/fawndock/standin/CounterStandIn.java
+++ b/src/main/java/fawndock/standin/CounterStandIn.java
@@ -111,6 +111,9 @@
     }
 
     private final class Commands extends SimpleChannelInboundHandler<ArrayRedisMessage> {
+        private final java.util.ArrayDeque<RedisMessage> waiting = new java.util.ArrayDeque<>();
+        private long readyAt = System.nanoTime();
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, ArrayRedisMessage message) {
             List<String> words = message.children().stream()
@@ -119,10 +122,15 @@
             if (silent) {
                 return;
             }
-            if (slowMillis > 0) {
-                context.executor().schedule(() -> context.writeAndFlush(answer), slowMillis, TimeUnit.MILLISECONDS);
+            // Answers keep the order of their calls, also when it has become quicker.
+            long now = System.nanoTime();
+            readyAt = Math.max(readyAt, now + slowMillis * 1_000_000);
+            waiting.add(answer);
+            if (readyAt > now) {
+                context.executor().schedule(() -> context.writeAndFlush(waiting.poll()), readyAt - now,
+                        TimeUnit.NANOSECONDS);
             } else {
-                context.writeAndFlush(answer);
+                context.writeAndFlush(waiting.poll());
             }
         }
 
--- /dev/null
+++ b/src/test/java/fawndock/BordersTest.java
@@ -0,0 +1,55 @@
+package fawndock;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** The borders between packages: decisions below, hosts above them, tools on top. */
+@AnalyzeClasses(packages = "fawndock", importOptions = ImportOption.DoNotIncludeTests.class)
+class BordersTest {
+    private static final DescribedPredicate<JavaClass> DECISIONS = DescribedPredicate.describe("decisions",
+            c -> c.getName().matches("fawndock\\.(Gatekeeper|Logic)(\\$.*)?"));
+
+    @ArchTest
+    static final ArchRule DECISIONS_ARE_PURE = classes().that(DECISIONS).should().onlyDependOnClassesThat(
+            DescribedPredicate.describe("are decisions or plain values", c -> DECISIONS.test(c)
+                    || c.getPackageName().equals("java.util") || c.getPackageName().equals("java.util.function")
+                    || c.getPackageName().equals("java.util.stream")
+                    || c.getPackageName().equals("java.lang") && !c.getSimpleName().matches(
+                            "Thread|Process|ProcessBuilder|Runtime|System")
+                    || c.getPackageName().equals("java.lang.runtime") || c.getPackageName().equals("java.lang.invoke")
+                    || c.isPrimitive() || c.isArray()));
+
+    @ArchTest
+    static final ArchRule NO_CLOCK_OF_THEIR_OWN = noClasses().that(DECISIONS).should()
+            .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis");
+
+    @ArchTest
+    static final ArchRule STAND_INS_ARE_FOR_TOOLS = noClasses().that().resideOutsideOfPackages("fawndock.standin..",
+            "fawndock.drill..", "fawndock.lab..", "fawndock.cli..").should().dependOnClassesThat()
+            .resideInAPackage("fawndock.standin..");
+
+    @ArchTest
+    static final ArchRule STAND_INS_KNOW_NO_GATEKEEPER = noClasses().that().resideInAPackage("fawndock.standin..")
+            .should().dependOnClassesThat().resideInAnyPackage("fawndock", "fawndock.gateway..", "fawndock.drill..");
+
+    @ArchTest
+    static final ArchRule HOSTS_KNOW_NO_TOOLS = noClasses().that().resideInAnyPackage("fawndock.gateway..",
+            "fawndock.settings..").should().dependOnClassesThat().resideInAnyPackage("fawndock.cli..",
+            "fawndock.drill..", "fawndock.lab..", "fawndock.benchlink..");
+
+    @ArchTest
+    static final ArchRule SETTINGS_OPEN_NOTHING = noClasses().that().resideInAPackage("fawndock.settings..").should()
+            .dependOnClassesThat().resideInAnyPackage("io..", "java.net..");
+
+    @ArchTest
+    static final ArchRule BENCHLINK_IS_LEAN = noClasses().that().resideInAPackage("fawndock.benchlink..").should()
+            .dependOnClassesThat().resideInAnyPackage("io..", "picocli..", "org.slf4j..", "ch.qos..",
+            "fawndock.gateway..", "fawndock.settings..", "com.fasterxml.jackson.databind..");
+}
--- a/src/test/java/fawndock/MainTest.java
+++ b/src/test/java/fawndock/MainTest.java
@@ -9,12 +9,12 @@
 
 class MainTest {
     @Test
-    void anotherSubcommandShowsTheUsage() throws Exception {
+    void anUnknownCommandIsNamedAndEndsWithTwo() throws Exception {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         Process process = new ProcessBuilder(java, "-cp", System.getProperty("java.class.path"),
                 "fawndock.Main", "nonsense").start();
         String error = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(2, process.waitFor());
-        assertTrue(error.contains("usage:"), error);
+        assertTrue(error.contains("'nonsense'"), error);
     }
 }
--- /dev/null
+++ b/src/test/java/fawndock/gateway/CounterLinkTest.java
@@ -0,0 +1,135 @@
+package fawndock.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import fawndock.Gatekeeper.Count;
+import fawndock.Gatekeeper.Counted;
+import fawndock.Gatekeeper.Result;
+import fawndock.settings.Address;
+import fawndock.settings.DaemonSettings.CounterParts;
+import fawndock.standin.CounterStandIn;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class CounterLinkTest {
+    private final Vertx vertx = Vertx.vertx();
+    private final Context context = vertx.getOrCreateContext();
+    private final BlockingQueue<Counted> told = new LinkedBlockingQueue<>();
+    private CounterStandIn counter;
+    private CounterLink link;
+
+    @BeforeEach
+    void start() throws Exception {
+        counter = new CounterStandIn().start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        link.close();
+        Setup.wait(vertx.close());
+        counter.close();
+    }
+
+    private void connect(long timeoutMicros, int most) throws Exception {
+        context.runOnContext(v -> link = new CounterLink(vertx, context, new CounterParts(
+                List.of(new Address("127.0.0.1", counter.port())), timeoutMicros, false, most), new MicroClock(),
+                new Alarms(vertx), told::add));
+        while (true) { // Until the connection is there: each probe is told exactly once.
+            count("probe", 0);
+            if (next().result() == Result.OK) {
+                return;
+            }
+        }
+    }
+
+    private void count(String name, double... amounts) {
+        context.runOnContext(v -> {
+            for (double amount : amounts) {
+                link.count(new Count(name, amount, 60_000_000));
+            }
+        });
+    }
+
+    private Counted next() throws InterruptedException {
+        Counted next = told.poll(20, TimeUnit.SECONDS);
+        assertTrue(next != null, "a call was never told");
+        return next;
+    }
+
+    @Test
+    void totalsComeInTheOrderOfTheCalls() throws Exception {
+        connect(20_000_000, 4_096);
+        count("n", 1, 0.5, -1);
+        assertEquals(List.of(1.0, 1.5, 0.5), List.of(next().total(), next().total(), next().total()));
+    }
+
+    /** The answer to a call that timed out comes while another call of the same name is out. */
+    @Test
+    void aLateTotalIsNotGivenToAnotherCall() throws Exception {
+        connect(1_000_000, 4_096);
+        counter.slow(1_300);
+        count("n", 100);
+        assertEquals(Result.TIMEOUT, next().result());
+        counter.slow(0);
+        count("n", 1);
+        Counted second = next();
+        assertEquals(Result.OK, second.result());
+        assertEquals(101, second.total());
+        assertTrue(told.isEmpty());
+    }
+
+    /** A connection that is open and silent is given up, and calls are answered again on a new one. */
+    @Test
+    void aHalfOpenConnectionIsReplaced() throws Exception {
+        connect(20_000, 4_096);
+        counter.silent(true);
+        double[] many = new double[30];
+        count("n", many);
+        for (int i = 0; i < many.length; i++) {
+            assertEquals(Result.TIMEOUT, next().result());
+        }
+        counter.silent(false);
+        List<Result> ends = new ArrayList<>();
+        while (!ends.contains(Result.OK)) {
+            count("after", 1);
+            ends.add(next().result());
+        }
+        assertTrue(ends.size() > 1 || ends.get(0) == Result.OK);
+    }
+
+    @Test
+    void anErrorAddedNothingAndALostConnectionMayHave() throws Exception {
+        connect(20_000_000, 4_096);
+        counter.refusing(true);
+        count("n", 5);
+        assertEquals(Result.SHED, next().result());
+        counter.refusing(false);
+        counter.silent(true);
+        long calls = counter.calls();
+        count("n", 7);
+        Setup.until(() -> counter.calls() > calls); // It has reached the counter, so it is out.
+        counter.stop();
+        assertEquals(Result.TIMEOUT, next().result());
+        count("n", 1);
+        assertEquals(Result.CONNECT_FAILED, next().result());
+    }
+
+    /** One call too many is turned away, but told after the older call of its name. */
+    @Test
+    void callsBeyondTheMostWaitForTheirTurn() throws Exception {
+        connect(300_000, 1);
+        counter.slow(60);
+        count("n", 1, 1);
+        assertEquals(Result.OK, next().result());
+        assertEquals(Result.SHED, next().result());
+    }
+}
--- a/src/test/java/fawndock/settings/SettingsFileTest.java
+++ b/src/test/java/fawndock/settings/SettingsFileTest.java
@@ -49,16 +49,16 @@
     @Test
     void everyMistakeIsToldAtOnceWithItsPlace() throws Exception {
         assertEquals(List.of(
+                "bad.conf:0: no roster and no server, expected roster HOST:PORT, or server lines",
                 "bad.conf:1: 'nowhere' is not an address, expected HOST:PORT",
                 "bad.conf:2: deadline '2' is not a time in range, expected a number and us, ms, s, m or h, from 1000us to 3600000000us",
                 "bad.conf:3: 'rate' is given twice, expected each name once",
+                "bad.conf:4: there is no class 'ghost', expected the name of a class line",
                 "bad.conf:5: a quote is not closed, expected \" before the line ends",
                 "bad.conf:6: unknown argument 'colour' of plan, expected an argument that the manual names",
                 "bad.conf:7: 'listen' stands already in bad.conf:1, expected it once",
-                "bad.conf:8: include names 0 files, expected include FILE",
-                "bad.conf:4: there is no class 'ghost', expected the name of a class line",
-                "bad.conf:0: no roster and no server, expected roster HOST:PORT, or server lines"),
-                sorted(mistakes("""
+                "bad.conf:8: include names 0 files, expected include FILE"),
+                mistakes("""
                         listen nowhere
                         class lookup aim 1ms deadline 2
                         plan a rate 1 rate 2 store 3
@@ -67,17 +67,7 @@
                         plan b colour red
                         listen 127.0.0.1:1
                         include
-                        """)));
-    }
-
-    /** Mistakes of splitting come first in the list; the test sees them by line, those of the whole file last. */
-    private static List<String> sorted(List<String> mistakes) {
-        return mistakes.stream().sorted((a, b) -> Integer.compare(order(a), order(b))).toList();
-    }
-
-    private static int order(String mistake) {
-        int line = Integer.parseInt(mistake.split(":")[1]);
-        return line == 0 ? 100 : line == 4 ? 99 : line;
+                        """));
     }
 
     @Test
