--- a/src/main/java/fawndock/cli/BenchCommand.java
+++ b/src/main/java/fawndock/cli/BenchCommand.java
@@ -1,12 +1,60 @@
 package fawndock.cli;
 
+import fawndock.lab.BareProxy;
+import fawndock.lab.Passthrough;
+import fawndock.settings.DaemonSettings;
 import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
 
-@Command(name = "bench")
+/** {@code fawndock bench NAME}: measurements on this machine. */
+@Command(name = "bench", mixinStandardHelpOptions = true, description = "Measures on this machine.",
+        subcommands = {BenchCommand.PassthroughBench.class, BenchCommand.Proxy.class})
 final class BenchCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
     @Override
     public Integer call() {
-        return 0;
+        spec.commandLine().usage(System.err);
+        return 2;
+    }
+
+    /** The gateway beside a bare proxy. */
+    @Command(name = "passthrough", mixinStandardHelpOptions = true,
+            description = "What the gateway adds to a bare proxy, in turns.")
+    static final class PassthroughBench implements Callable<Integer> {
+        @Option(names = "--seconds", defaultValue = "4", description = "of each turn")
+        private double seconds;
+        @Option(names = "--turns", defaultValue = "5", description = "of each measurement")
+        private int turns;
+        @Option(names = "--no-counter", description = "the gatekeeper asks no counter")
+        private boolean uncounted;
+
+        @Override
+        public Integer call() throws Exception {
+            Logs.to(new DaemonSettings.Log(false, "warn"));
+            new Passthrough(seconds, turns, !uncounted, System.out).run();
+            return 0;
+        }
+    }
+
+    /** The process that passthrough compares with. */
+    @Command(name = "bare-proxy", hidden = true, description = "A reverse proxy without decisions.")
+    static final class Proxy implements Callable<Integer> {
+        @Parameters(paramLabel = "WORKER-PORT")
+        private int worker;
+
+        @Override
+        public Integer call() throws Exception {
+            Logs.to(new DaemonSettings.Log(false, "warn"));
+            System.out.println(new BareProxy(worker).start().toCompletionStage().toCompletableFuture()
+                    .get(20, TimeUnit.SECONDS));
+            return Commands.STAYS;
+        }
     }
 }
--- a/src/main/java/fawndock/drill/BadDay.java
+++ b/src/main/java/fawndock/drill/BadDay.java
@@ -160,7 +160,7 @@
         return null;
     }
 
-    private static void awaitEnds(Traffic traffic) throws InterruptedException {
+    static void awaitEnds(Traffic traffic) throws InterruptedException {
         long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(8);
         while (traffic.open() > 0 && System.nanoTime() < limit) {
             Thread.sleep(20);
--- a/src/main/java/fawndock/drill/Traffic.java
+++ b/src/main/java/fawndock/drill/Traffic.java
@@ -4,7 +4,9 @@
 import fawndock.standin.RawClient;
 import io.vertx.core.Vertx;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLongArray;
 import java.util.function.IntUnaryOperator;
@@ -33,6 +35,7 @@
     private final SplittableRandom random;
     private final AtomicInteger open = new AtomicInteger();
     private final AtomicLongArray statuses = new AtomicLongArray(600);
+    private final Map<String, AtomicLongArray> byCustomer = new ConcurrentHashMap<>();
     private double factor = 1;
     private double leaving;
     private double debt;
@@ -83,6 +86,12 @@
         return statuses.get(status);
     }
 
+    /** The same of one customer. */
+    public long ended(String customer, int status) {
+        AtomicLongArray all = byCustomer.get(customer);
+        return all == null ? 0 : all.get(status);
+    }
+
     private void tick() {
         long now = System.nanoTime();
         double seconds = Math.min(0.5, (now - lastTick) / 1e9);
@@ -130,6 +139,8 @@
                 kind.remainingMicros(), key, leaves ? 5_000 + random.nextInt(60_000) : 0), end -> {
             open.decrementAndGet();
             statuses.incrementAndGet(end.status());
+            byCustomer.computeIfAbsent(customer.name(), name -> new AtomicLongArray(600))
+                    .incrementAndGet(end.status());
             again(customer, kind, operation, attempt, end);
         });
     }
