Counter calls of one turn go out in one write; no empty DATA frame to workers

Cause: under load the event loop's time goes into system calls (JFR: native samples), one write for each counter call among them. Change: calls made in one turn of the loop are one batch; errors are told by their place in it, and calls beside a refused one as maybe added. Requests without a body end with their HEADERS frame.

--- a/src/main/java/fawndock/gateway/CounterPart.java
+++ b/src/main/java/fawndock/gateway/CounterPart.java
@@ -17,6 +17,7 @@
 import io.vertx.redis.client.Response;
 import io.vertx.redis.client.impl.types.ErrorType;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -40,7 +41,7 @@
     private static final long CONNECT_MICROS = 1_000_000;
     private static final int HALF_OPEN = 20;
     private static final Pattern CLIENT_ERROR = Pattern.compile(
-            "ERR \\[0] (CONNECTION_CLOSED|ILLEGAL_STATE|Connection |[a-z]+(\\.[a-z0-9]+)*\\.[A-Z])");
+            "ERR \\[[0-9]+] (CONNECTION_CLOSED|ILLEGAL_STATE|Connection |[a-z]+(\\.[a-z0-9]+)*\\.[A-Z])");
 
     /** A call that is out. */
     private static final class Call {
@@ -65,6 +66,7 @@
     /** Calls on the connection, oldest first; all untold calls by name, in the order in which they were made. */
     private final Set<Call> out = new LinkedHashSet<>();
     private final Map<String, ArrayDeque<Call>> lines = new HashMap<>();
+    private final List<Call> unsent = new ArrayList<>();
     private Redis client;
     private RedisConnection connection;
     private long pause = FIRST_PAUSE;
@@ -94,37 +96,60 @@
         }
         out.add(call);
         call.timeOut = alarms.after(settings.timeoutMicros(), () -> timeOut(call));
-        RedisConnection used = connection;
-        long keepMillis = Math.max(1, (count.keepMicros() + 999) / 1_000);
-        used.batch(List.of(
-                Request.cmd(Command.INCRBYFLOAT).arg(count.name()).arg(Double.toString(count.amount())),
-                Request.cmd(Command.PEXPIRE).arg(count.name()).arg(keepMillis).arg("NX")))
-                .onComplete(answer -> answered(used, call, answer));
+        // What is called in one turn of the loop goes out in one write.
+        unsent.add(call);
+        if (unsent.size() == 1) {
+            context.runOnContext(later -> send());
+        }
     }
 
-    private void answered(RedisConnection used, Call call, AsyncResult<List<Response>> answer) {
-        if (used == connection) {
-            inARow = 0;
+    private void send() {
+        List<Call> calls = List.copyOf(unsent);
+        unsent.clear();
+        RedisConnection used = connection;
+        if (used == null) {
+            return; // Lost in the same turn, and its calls were ended then.
         }
+        List<Request> commands = new ArrayList<>(2 * calls.size());
+        for (Call call : calls) {
+            Count count = call.count;
+            commands.add(Request.cmd(Command.INCRBYFLOAT).arg(count.name()).arg(Double.toString(count.amount())));
+            commands.add(Request.cmd(Command.PEXPIRE).arg(count.name())
+                    .arg(Math.max(1, (count.keepMicros() + 999) / 1_000)).arg("NX"));
+        }
+        used.batch(commands).onComplete(answer -> {
+            if (used == connection) {
+                inARow = 0;
+            }
+            for (int i = 0; i < calls.size(); i++) {
+                answered(calls.get(i), 2 * i, answer);
+            }
+        });
+    }
+
+    /** Tells the end of a call whose first command has this place in its batch; nobody else's when it timed out. */
+    private void answered(Call call, int place, AsyncResult<List<Response>> answer) {
         if (call.end != null) {
-            return; // Timed out before: nobody else's total.
+            return;
         }
         if (answer.succeeded()) {
             try {
-                end(call, Result.OK, Double.parseDouble(answer.result().get(0).toString()));
+                end(call, Result.OK, Double.parseDouble(answer.result().get(place).toString()));
             } catch (NumberFormatException | NullPointerException e) {
                 end(call, Result.TIMEOUT, 0); // Not a total, and the amount may have been added.
             }
         } else {
-            end(call, refused(answer.cause()) ? Result.SHED : Result.TIMEOUT, 0);
+            end(call, refused(answer.cause(), place) ? Result.SHED : Result.TIMEOUT, 0);
         }
     }
 
-    // Whether the server answered the first command with an error, so that nothing was added. The client tells a
-    // lost connection in the same form: with an error word of its own, or the name of an exception's class.
-    private static boolean refused(Throwable cause) {
+    // Whether the server answered this command with an error, so that nothing was added. The client tells all errors
+    // of a batch in one text, a line for each, and no totals beside them: the others may have been added. It tells a
+    // lost connection in the same form, with an error word of its own or the name of an exception's class.
+    private static boolean refused(Throwable cause, int place) {
         String text = cause instanceof ErrorType ? String.valueOf(cause.getMessage()) : "";
-        return text.startsWith("ERR [0] ") && !CLIENT_ERROR.matcher(text).lookingAt();
+        return text.lines().anyMatch(line -> line.startsWith("ERR [" + place + "] ")
+                && !CLIENT_ERROR.matcher(line).lookingAt());
     }
 
     private void timeOut(Call call) {
@@ -205,6 +230,7 @@
     private void lost(String why) {
         Redis lost = client;
         connection = null;
+        unsent.clear();
         // In the order of the calls, before a new connection can answer any: the amounts may have been added.
         for (Call call : List.copyOf(out)) {
             end(call, Result.TIMEOUT, 0);
--- a/src/main/java/fawndock/gateway/WorkerAttempt.java
+++ b/src/main/java/fawndock/gateway/WorkerAttempt.java
@@ -56,7 +56,8 @@
         request = connected;
         stage = Stage.SENT;
         request.exceptionHandler(this::broken);
-        request.send(open.exchange.asked().body()).onComplete(answer -> {
+        Buffer sent = open.exchange.asked().body();
+        (sent.length() == 0 ? request.send() : request.send(sent)).onComplete(answer -> {
             if (answer.failed()) {
                 broken(answer.cause());
             } else {
