Roster streams given up are reset; free ports for drills from below the outgoing range

Cause: a drill failed because a client's connection had taken a gatekeeper's port before it listened; a lost roster stream stayed open; Expect: 100-continue was not answered. Change: as titled; a process's links share one hash; errors of tools are one line.

--- a/src/main/java/fawndock/cli/Commands.java
+++ b/src/main/java/fawndock/cli/Commands.java
@@ -1,5 +1,6 @@
 package fawndock.cli;
 
+import java.io.IOException;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -28,6 +29,12 @@
 
     /** Runs a command line; returns the exit code, or a number below 0 when the process is to stay. */
     public static int run(String[] args) {
-        return new CommandLine(new Commands()).execute(args);
+        return new CommandLine(new Commands()).setExecutionExceptionHandler((e, command, parsed) -> {
+            if (!(e instanceof IOException)) {
+                throw e;
+            }
+            System.err.println("fawndock: " + e.getMessage());
+            return 1;
+        }).execute(args);
     }
 }
--- a/src/main/java/fawndock/drill/Gatekeepers.java
+++ b/src/main/java/fawndock/drill/Gatekeepers.java
@@ -5,6 +5,8 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.BindException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -15,12 +17,14 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
 /** Gatekeepers in processes of their own, each with a settings file in one folder. Ends its own processes only. */
 public final class Gatekeepers implements AutoCloseable {
     private static final int START_SECONDS = 30;
+    private static final int MOST_PORTS = 1_000;
     private final Path folder;
     private final Recorder recorder;
     private final List<String> jvmOptions;
@@ -40,11 +44,20 @@
         Runtime.getRuntime().addShutdownHook(hook);
     }
 
-    /** A loopback port that is free now. */
+    /**
+     * A loopback port that is free now, from below the range that systems take for outgoing connections: one from
+     * that range was seen taken by a client's connection before its gatekeeper came to listen.
+     */
     public static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
+        for (int i = 0; i < MOST_PORTS; i++) {
+            int port = 15_000 + ThreadLocalRandom.current().nextInt(16_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // Taken: another.
+            }
         }
+        throw new IOException("no free port found in " + MOST_PORTS + " tries");
     }
 
     /** Keeps the settings of a gatekeeper and the port on which they say that it listens. */
--- a/src/main/java/fawndock/gateway/CounterLink.java
+++ b/src/main/java/fawndock/gateway/CounterLink.java
@@ -21,7 +21,7 @@
  */
 final class CounterLink {
     private static final Hasher64 HASH = Hashing.xxh3_64();
-    private final ConsistentBucketHasher buckets =
+    private static final ConsistentBucketHasher BUCKETS =
             ConsistentHashing.jumpHash(PseudoRandomGeneratorProvider.splitMix64_V1());
     private final List<CounterPart> parts = new ArrayList<>();
 
@@ -33,11 +33,12 @@
     }
 
     void count(Count count) {
-        parts.get(part(count.name())).count(count);
+        parts.get(part(count.name(), parts.size())).count(count);
     }
 
-    int part(String name) {
-        return buckets.getBucket(HASH.hashCharsToLong(name), parts.size());
+    /** Which of so many parts has a name; on one thread at a time for all links of a process. */
+    static synchronized int part(String name, int parts) {
+        return parts == 1 ? 0 : BUCKETS.getBucket(HASH.hashCharsToLong(name), parts);
     }
 
     void close() {
--- a/src/main/java/fawndock/gateway/GatekeeperNode.java
+++ b/src/main/java/fawndock/gateway/GatekeeperNode.java
@@ -77,6 +77,7 @@
         server = vertx.createHttpServer(new HttpServerOptions()
                 .setHttp2ClearTextEnabled(true)
                 .setTcpNoDelay(true)
+                .setHandle100ContinueAutomatically(true)
                 .setIdleTimeout((int) Math.max(120, 2 * longest))
                 .setInitialSettings(new Http2Settings().setMaxConcurrentStreams(1_000))
                 .setHttp2RstFloodMaxRstFramePerWindow(20_000)
--- a/src/main/java/fawndock/gateway/RosterLink.java
+++ b/src/main/java/fawndock/gateway/RosterLink.java
@@ -9,6 +9,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
@@ -38,6 +39,7 @@
     private final HttpClient http;
     private final Map<String, Address> addresses = new HashMap<>();
     private Object connection = new Object();
+    private HttpClientRequest stream;
     private boolean wanted;
     private boolean closed;
     private long pause = FIRST_PAUSE;
@@ -80,6 +82,7 @@
     private void connect() {
         Object mine = new Object();
         connection = mine;
+        leave();
         RequestOptions options = new RequestOptions().setMethod(HttpMethod.GET).setHost(source.address().host())
                 .setPort(source.address().port()).setURI("/roster");
         alive(mine);
@@ -98,13 +101,13 @@
     }
 
     private void follow(Object mine, HttpClientResponse answer) {
+        stream = answer.request();
         boolean[] begun = {false};
         RecordParser lines = RecordParser.newDelimited("\n", answer).maxRecordSize(LONGEST_LINE);
-        lines.exceptionHandler(e -> drop(mine, answer, e.getMessage()));
+        lines.exceptionHandler(e -> lost(mine, e.getMessage()));
         lines.endHandler(end -> lost(mine, "closed"));
         lines.handler(line -> {
             if (connection != mine) {
-                answer.request().reset();
                 return;
             }
             alive(mine);
@@ -118,7 +121,7 @@
                     pause = FIRST_PAUSE;
                     take(read);
                 } catch (IllegalArgumentException e) {
-                    drop(mine, answer, e.getMessage());
+                    lost(mine, e.getMessage());
                 }
             }
         });
@@ -137,6 +140,8 @@
         if (line.listing() == Listing.COMPLETE) {
             addresses.keySet().retainAll(line.addresses().keySet());
         }
+        line.servers().stream().filter(s -> s.availability() == Availability.DELETED)
+                .forEach(s -> addresses.remove(s.id()));
         told.accept(new Servers(line.listing(), line.servers()));
     }
 
@@ -145,17 +150,13 @@
         silence = alarms.after(source.silenceMicros(), () -> lost(mine, "silent"));
     }
 
-    private void drop(Object mine, HttpClientResponse answer, String why) {
-        answer.request().reset();
-        lost(mine, why);
-    }
-
     private void lost(Object which, String why) {
         if (connection != which || closed || !wanted) {
             return;
         }
         connection = new Object();
         alarms.cancel(silence);
+        leave();
         LOG.warn("roster {} lost ({}), trying again in {} ms; the servers known stay", source.address(), why,
                 pause / 1_000);
         Object waiting = connection;
@@ -170,6 +171,14 @@
         }
     }
 
+    /** Gives up the stream that was followed, which may be half open or unreadable. */
+    private void leave() {
+        if (stream != null) {
+            stream.reset();
+            stream = null;
+        }
+    }
+
     void close() {
         closed = true;
         alarms.cancel(silence);
--- a/src/test/java/fawndock/gateway/PartsTest.java
+++ b/src/test/java/fawndock/gateway/PartsTest.java
@@ -61,6 +61,22 @@
         Setup.wait(vertx.close());
     }
 
+    /** Each part has about its share of the names, and a further part takes names without moving others. */
+    @Test
+    void namesAreSpreadOverThePartsOfTheCounter() {
+        int[] names = new int[3];
+        for (int i = 0; i < 3_000; i++) {
+            String name = "customer-" + i + ":" + i % 7;
+            int part = CounterLink.part(name, 3);
+            names[part]++;
+            int of4 = CounterLink.part(name, 4);
+            assertTrue(of4 == part || of4 == 3, name);
+        }
+        for (int each : names) {
+            assertTrue(each > 900 && each < 1_100, "one part has " + each + " of 3000");
+        }
+    }
+
     @Test
     void loadReportsInBothFormsAndNonsense() {
         Map<String, Double> expected = Map.of("utilization", 0.3, "throughput", 90.0, "queue", 4.0);
