--- a/src/main/java/fawndock/drill/BadDay.java
+++ b/src/main/java/fawndock/drill/BadDay.java
@@ -60,6 +60,7 @@
             scene.gatekeepers.startAll();
             Traffic traffic = new Traffic(scene.vertx, new RawClient(scene.vertx, scene.recorder), kinds(),
                     customers(), GATEKEEPERS, scene.gatekeepers::port, seed);
+            traffic.factor(0.1);
             traffic.start();
             script(scene, traffic).play(LENGTH, out);
             traffic.stop();
@@ -95,6 +96,8 @@
     private Script script(Scene s, Traffic traffic) {
         Function<Integer, Worker> w = s.workers::get;
         return new Script()
+                // Stand-ins and records start cold as well, and it is not their start that is judged.
+                .at(1.5, "traffic is at its full height", () -> run(() -> traffic.factor(1)))
                 .at(2, "worker-1 is 8 times slower", () -> w.apply(1).change(f -> f.slow = 8))
                 .at(4, "the counter falls silent", () -> run(() -> s.counter.silent(true)))
                 .at(5, "gatekeeper 1 is killed", () -> run(() -> s.gatekeepers.kill(1)))
--- a/src/main/java/fawndock/gateway/CounterPart.java
+++ b/src/main/java/fawndock/gateway/CounterPart.java
@@ -31,8 +31,8 @@
 /**
  * One part of the counter service, over one connection of the Redis serialization protocol at a time. A call is
  * {@code INCRBYFLOAT name amount} and {@code PEXPIRE name ms NX}, pipelined; it is told exactly once, in the order
- * of the calls: by its answer or by its time-out, whichever is first. One connection answers in order and a lost
- * connection ends all of its calls before the next is used, so that no total is given to another call.
+ * of the calls of its name: by its answer or by its time-out, whichever is first. One connection answers in order and
+ * a call belongs to the connection that it went out on, so that no total is given to another call.
  */
 final class CounterPart {
     private static final Logger LOG = LoggerFactory.getLogger(CounterPart.class);
@@ -107,8 +107,8 @@
         List<Call> calls = List.copyOf(unsent);
         unsent.clear();
         RedisConnection used = connection;
-        if (used == null) {
-            return; // Lost in the same turn, and its calls were ended then.
+        if (calls.isEmpty()) {
+            return; // The connection was lost in the same turn, and they were ended then.
         }
         List<Request> commands = new ArrayList<>(2 * calls.size());
         for (Call call : calls) {
@@ -127,11 +127,8 @@
         });
     }
 
-    /** Tells the end of a call whose first command has this place in its batch; nobody else's when it timed out. */
+    /** Tells the end of a call whose first command has this place in its batch, unless it has timed out. */
     private void answered(Call call, int place, AsyncResult<List<Response>> answer) {
-        if (call.end != null) {
-            return;
-        }
         if (answer.succeeded()) {
             try {
                 end(call, Result.OK, Double.parseDouble(answer.result().get(place).toString()));
@@ -230,12 +227,10 @@
     private void lost(String why) {
         Redis lost = client;
         connection = null;
+        List<Call> never = List.copyOf(unsent);
         unsent.clear();
-        // In the order of the calls, before a new connection can answer any: the amounts may have been added.
-        for (Call call : List.copyOf(out)) {
-            end(call, Result.TIMEOUT, 0);
-        }
-        lost.close();
+        never.forEach(call -> end(call, Result.CONNECT_FAILED, 0));
+        lost.close(); // Fails the calls that are out: their amounts may have been added.
         again(lost, why);
     }
 
--- a/src/test/java/fawndock/gateway/RosterLinkTest.java
+++ b/src/test/java/fawndock/gateway/RosterLinkTest.java
@@ -36,6 +36,20 @@
         }
     }
 
+    /** A stream that does not begin with everything may hide servers that drain: it is given up, not followed. */
+    @Test
+    void aStreamThatBeginsWithChangesIsNotFollowed() throws Exception {
+        io.vertx.core.Vertx vertx = io.vertx.core.Vertx.vertx();
+        int[] connections = {0};
+        int port = Setup.wait(vertx.createHttpServer().requestHandler(r -> r.response().setChunked(true).write(
+                "{\"list\":\"" + (connections[0]++ == 0 ? "changes" : "complete") + "\",\"servers\":["
+                + entry("w", "running") + "]}\n")).listen(0, "127.0.0.1")).actualPort();
+        try (Setup s = new Setup(r -> r.response().end(), "roster 127.0.0.1:" + port)) {
+            assertEquals(Listing.COMPLETE, s.gatekeeper.await(Servers.class).listing());
+        }
+        Setup.wait(vertx.close());
+    }
+
     /** Cut off, back, nobody listed, nonsense: the gatekeeper is never told that the fleet is empty. */
     @Test
     void aLostOrEmptyRosterNeverEmptiesTheFleet() throws Exception {
