drill chaos: random troubles with gatekeepers killed; answers' header fields copied once

Change: Chaos draws troubles by seed, one at a time for each thing; worker answers' fields go straight to the client's answer.

--- a/src/main/java/fawndock/cli/DrillCommand.java
+++ b/src/main/java/fawndock/cli/DrillCommand.java
@@ -1,6 +1,7 @@
 package fawndock.cli;
 
 import fawndock.drill.BadDay;
+import fawndock.drill.Chaos;
 import fawndock.drill.DayDrill;
 import fawndock.drill.DayFile;
 import java.util.concurrent.Callable;
@@ -8,7 +9,8 @@
 
 /** {@code fawndock drill NAME}: troubles on loopback, judged by what crossed the sockets. */
 @Command(name = "drill", mixinStandardHelpOptions = true, description = "Plays troubles and judges the rules.",
-        subcommands = {DrillCommand.BadDayDrill.class, DrillCommand.Day.class})
+        subcommands = {DrillCommand.BadDayDrill.class, DrillCommand.Day.class,
+            DrillCommand.ChaosDrill.class})
 final class DrillCommand implements Callable<Integer> {
     @picocli.CommandLine.Spec
     private picocli.CommandLine.Model.CommandSpec spec;
@@ -55,4 +57,24 @@
             return new DayDrill(day, seed, System.out).run() ? 0 : 1;
         }
     }
+
+    /** Troubles at random. */
+    @Command(name = "chaos", mixinStandardHelpOptions = true,
+            description = "Random troubles, the killing of gatekeepers among them.")
+    static final class ChaosDrill implements Callable<Integer> {
+        @picocli.CommandLine.Option(names = "--seconds", defaultValue = "60", description = "from 10 to 900")
+        private int seconds;
+        @picocli.CommandLine.Option(names = "--seed", defaultValue = "1", description = "of the troubles")
+        private long seed;
+
+        @Override
+        public Integer call() throws Exception {
+            if (seconds < 10 || seconds > 900) {
+                System.err.println("--seconds is from 10 to 900");
+                return 2;
+            }
+            Logs.to(new fawndock.settings.DaemonSettings.Log(false, "warn"));
+            return new Chaos(seconds, seed, System.out).run() ? 0 : 1;
+        }
+    }
 }
--- a/src/main/java/fawndock/drill/BadDay.java
+++ b/src/main/java/fawndock/drill/BadDay.java
@@ -19,10 +19,10 @@
 /** The scripted bad day: three gatekeepers, eight workers and a counter through overlapping troubles. */
 public final class BadDay {
     static final int GATEKEEPERS = 3;
-    private static final int WORKERS = 8;
+    static final int WORKERS = 8;
     private static final double LENGTH = 27;
     private static final long SLACK = 250_000;
-    private static final Worker.Build BUILD = new Worker.Build(4, 20_000, 200, 0.2, 4_000_000, 2, 1_000_000);
+    static final Worker.Build BUILD = new Worker.Build(4, 20_000, 200, 0.2, 4_000_000, 2, 1_000_000);
     static final String COMMON = """
             class lookup aim 500ms deadline 2s worth 1 repeat idempotent
             class update aim 500ms deadline 2s worth 3 repeat deduplicated group all window 1500ms
@@ -81,13 +81,13 @@
         }
     }
 
-    private static List<Traffic.Kind> kinds() {
+    static List<Traffic.Kind> kinds() {
         return List.of(new Traffic.Kind("lookup", "GET", "/lookup/tours", Repeat.IDEMPOTENT, 1_600_000, 0.6),
                 new Traffic.Kind("update", "PUT", "/update/guest", Repeat.DEDUPLICATED, 1_600_000, 0.25),
                 new Traffic.Kind("charge", "POST", "/charge", Repeat.AT_MOST_ONCE, 2_400_000, 0.15));
     }
 
-    private static List<Traffic.Customer> customers() {
+    static List<Traffic.Customer> customers() {
         return List.of(new Traffic.Customer("agency-a", "key-a", 45), new Traffic.Customer("agency-b", "key-b", 60),
                 new Traffic.Customer("agency-c", "key-c", 70), new Traffic.Customer("agency-d", "key-d", 50),
                 new Traffic.Customer("agency-e", "key-e", 75));
--- /dev/null
+++ b/src/main/java/fawndock/drill/Chaos.java
@@ -0,0 +1,131 @@
+package fawndock.drill;
+
+import fawndock.standin.RawClient;
+import fawndock.standin.Seen;
+import fawndock.standin.Worker;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.concurrent.Callable;
+import java.util.function.Consumer;
+
+/**
+ * Troubles drawn at random over the bad day's gatekeepers, workers, counter and roster, as many at once as come
+ * about. A seed draws the same troubles at the same times; what the machine makes of them differs.
+ */
+public final class Chaos {
+    private static final double GAP = 0.8;
+    private static final double QUIET_END = 3;
+    private final int seconds;
+    private final SplittableRandom random;
+    private final long seed;
+    private final PrintStream out;
+    private final Script script = new Script();
+    private final TreeSet<String> struck = new TreeSet<>();
+
+    /** @param seconds how long, from 10 */
+    public Chaos(int seconds, long seed, PrintStream out) {
+        this.seconds = seconds;
+        this.seed = seed;
+        this.random = new SplittableRandom(seed);
+        this.out = out;
+    }
+
+    /** Plays it; returns whether every rule was kept. */
+    public boolean run() throws Exception {
+        try (Scene scene = new Scene(BadDay.WORKERS, BadDay.BUILD, seed)) {
+            scene.gatekeepers(BadDay.GATEKEEPERS, BadDay.COMMON);
+            scene.gatekeepers.startAll();
+            Traffic traffic = new Traffic(scene.vertx, new RawClient(scene.vertx, scene.recorder), BadDay.kinds(),
+                    BadDay.customers(), BadDay.GATEKEEPERS, scene.gatekeepers::port, seed);
+            traffic.factor(0.1);
+            traffic.start();
+            script.at(1.5, "traffic is at its full height", () -> run(() -> traffic.factor(1)));
+            for (double at = 2; at < seconds - QUIET_END; at += GAP * (0.5 + random.nextDouble())) {
+                draw(at, scene, traffic);
+            }
+            script.play(seconds, out);
+            traffic.stop();
+            BadDay.awaitEnds(traffic);
+            List<Seen> trace = scene.recorder.all();
+            Verdict verdict = RuleChecker.judge(trace, BadDay.figures(scene));
+            verdict.breaches().forEach(b -> out.println("  " + b));
+            scene.close();
+            if (verdict.kept()) {
+                scene.clean();
+            } else {
+                out.println("settings and logs of the gatekeepers: " + scene.folder());
+            }
+            out.println(verdict.line());
+            return verdict.kept();
+        }
+    }
+
+    private void draw(double at, Scene s, Traffic traffic) {
+        double length = 0.5 + 5 * random.nextDouble();
+        double end = Math.min(at + length, seconds - QUIET_END);
+        int worker = random.nextInt(BadDay.WORKERS);
+        double share = 0.1 + 0.5 * random.nextDouble();
+        int gatekeeper = random.nextInt(BadDay.GATEKEEPERS);
+        switch (random.nextInt(13)) {
+            case 0, 1 -> strike("gatekeeper", "gatekeeper " + gatekeeper + " is killed", at, end, () -> run(() ->
+                    s.gatekeepers.kill(gatekeeper)), () -> s.gatekeepers.start(gatekeeper));
+            case 2 -> fault(s, worker, "slow", at, end, f -> f.slow = 2 + 10 * share, f -> f.slow = 1);
+            case 3 -> fault(s, worker, "silent", at, end, f -> f.silent = true, f -> f.silent = false);
+            case 4 -> fault(s, worker, "losing answers", at, end, f -> f.loseAnswers = share, f -> f.loseAnswers = 0);
+            case 5 -> fault(s, worker, "resetting", at, end, f -> f.resets = share, f -> f.resets = 0);
+            case 6 -> fault(s, worker, "refusing", at, end, f -> f.refuses = share, f -> f.refuses = 0);
+            case 7 -> fault(s, worker, "failing", at, end, f -> f.errors = share, f -> f.errors = 0);
+            case 8 -> strike("worker-" + worker, "worker-" + worker + " drains, dies and comes back cold", at, end, () ->
+                    run(() -> {
+                        s.roster.tell(s.entry(worker, "stopping"));
+                        s.workers.get(worker).drain();
+                    }), () -> s.workers.get(worker).die().compose(v -> s.workers.get(worker).start(true))
+                    .onSuccess(p -> s.roster.tell(s.entry(worker, "running"))));
+            case 9 -> strike("counter", "the counter is silent", at, end, () -> run(() -> s.counter.silent(true)), () ->
+                    run(() -> s.counter.silent(false)));
+            case 10 -> strike("counter", "the counter is gone, and comes back empty", at, end, () ->
+                    run(s.counter::stop), () -> {
+                        s.counter.lose(1);
+                        return s.counter.start();
+                    });
+            case 11 -> strike("roster", "the roster is cut off", at, end, () -> run(() -> s.roster.cut(true)), () ->
+                    run(() -> s.roster.cut(false)));
+            default -> strike("traffic", "twice the traffic, some clients leave early", at, end, () -> run(() -> {
+                traffic.factor(2);
+                traffic.leaving(share / 3);
+            }), () -> run(() -> {
+                traffic.factor(1);
+                traffic.leaving(0);
+            }));
+        }
+    }
+
+    private void fault(Scene s, int worker, String what, double at, double end, Consumer<Worker.Faults> on,
+                       Consumer<Worker.Faults> off) {
+        strike("worker-" + worker, "worker-" + worker + " is " + what, at, end, () ->
+                s.workers.get(worker).change(on), () -> s.workers.get(worker).change(off));
+    }
+
+    /** One thing has one trouble at a time; what is drawn for it meanwhile falls away. */
+    private void strike(String whom, String what, double at, double end, Callable<?> on, Callable<?> off) {
+        boolean[] mine = {false};
+        script.at(at, what, () -> {
+            mine[0] = struck.add(whom);
+            return mine[0] ? on.call() : null;
+        });
+        script.at(end, "end: " + what, () -> {
+            if (!mine[0]) {
+                return null;
+            }
+            struck.remove(whom);
+            return off.call();
+        });
+    }
+
+    private static Object run(Runnable what) {
+        what.run();
+        return null;
+    }
+}
--- a/src/main/java/fawndock/drill/Demo.java
+++ b/src/main/java/fawndock/drill/Demo.java
@@ -2,7 +2,6 @@
 
 import fawndock.Gatekeeper.Repeat;
 import fawndock.standin.RawClient;
-import fawndock.standin.Worker;
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Map;
@@ -10,7 +9,6 @@
 
 /** One gatekeeper, a counter, a roster and eight workers, with customers under, at and over their plans. */
 public final class Demo {
-    private static final Worker.Build BUILD = new Worker.Build(4, 20_000, 200, 0.2, 4_000_000, 2, 1_000_000);
     private static final String COMMON = """
             class lookup aim 500ms deadline 2s repeat idempotent
             route GET /tours lookup
@@ -32,7 +30,7 @@
 
     /** Runs for so long; returns whether anything was served and every rule kept. */
     public boolean run(int seconds) throws Exception {
-        try (Scene scene = new Scene(8, BUILD, 1)) {
+        try (Scene scene = new Scene(BadDay.WORKERS, BadDay.BUILD, 1)) {
             scene.gatekeepers(1, COMMON);
             scene.gatekeepers.startAll();
             List<Traffic.Customer> customers = List.of(new Traffic.Customer("small-agency", "demo-small", 10),
--- a/src/main/java/fawndock/gateway/Exchange.java
+++ b/src/main/java/fawndock/gateway/Exchange.java
@@ -19,7 +19,7 @@
 
     Asked asked();
 
-    /** A worker's whole answer. */
+    /** A worker's whole answer, with all of its header fields. */
     void serve(int status, MultiMap headers, Buffer body);
 
     /**
--- a/src/main/java/fawndock/gateway/Headers.java
+++ b/src/main/java/fawndock/gateway/Headers.java
@@ -22,6 +22,13 @@
      * @param without in lower case
      */
     static MultiMap forwarded(MultiMap headers, Set<String> without) {
+        MultiMap forwarded = HttpHeaders.headers();
+        copy(headers, forwarded, without);
+        return forwarded;
+    }
+
+    /** Adds the same fields to others. */
+    static void copy(MultiMap headers, MultiMap to, Set<String> without) {
         Set<String> named = Set.of();
         for (String value : headers.getAll("connection")) {
             for (String each : value.split(",")) {
@@ -32,14 +39,12 @@
                 }
             }
         }
-        MultiMap forwarded = HttpHeaders.headers();
         for (Map.Entry<String, String> field : headers) {
             String name = field.getKey().toLowerCase(Locale.ROOT);
             if (name.charAt(0) != ':' && !OF_ONE_CONNECTION.contains(name) && !without.contains(name)
                     && !named.contains(name)) {
-                forwarded.add(name, field.getValue());
+                to.add(name, field.getValue());
             }
         }
-        return forwarded;
     }
 }
--- a/src/main/java/fawndock/gateway/HttpExchange.java
+++ b/src/main/java/fawndock/gateway/HttpExchange.java
@@ -34,7 +34,7 @@
             return;
         }
         response.setStatusCode(status);
-        response.headers().addAll(headers);
+        Headers.copy(headers, response.headers(), Set.of());
         if (request.method() == HttpMethod.HEAD || status == 204 || status == 304) {
             response.end();
         } else {
@@ -47,7 +47,7 @@
     public void stream(HttpClientResponse answer, Buffer soFar, Consumer<Throwable> ended) {
         HttpServerResponse response = request.response();
         response.setStatusCode(answer.statusCode());
-        response.headers().addAll(Headers.forwarded(answer.headers(), Set.of()));
+        Headers.copy(answer.headers(), response.headers(), Set.of());
         response.setChunked(!response.headers().contains("content-length"));
         if (soFar.length() > 0) {
             response.write(soFar);
--- a/src/main/java/fawndock/gateway/WorkerAttempt.java
+++ b/src/main/java/fawndock/gateway/WorkerAttempt.java
@@ -1,12 +1,10 @@
 package fawndock.gateway;
 
 import fawndock.Gatekeeper.Result;
-import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
-import java.util.Set;
 
 /**
  * One attempt of a request at a worker: from the pool's connection to the end of the answer. It ends exactly once,
@@ -88,8 +86,7 @@
             });
             answer.endHandler(done -> {
                 if (stage == Stage.SENT) {
-                    MultiMap headers = Headers.forwarded(answer.headers(), Set.of());
-                    host.deliver(open, this, answer.statusCode(), headers, body);
+                    host.deliver(open, this, answer.statusCode(), answer.headers(), body);
                     end(Result.OK);
                 }
             });
