--- a/src/main/java/fawndock/settings/SettingsFile.java
+++ b/src/main/java/fawndock/settings/SettingsFile.java
@@ -1,9 +1,7 @@
 package fawndock.settings;
 
-import fawndock.Gatekeeper.Group;
 import fawndock.Gatekeeper.Limits;
 import fawndock.Gatekeeper.Plan;
-import fawndock.Gatekeeper.Repeat;
 import fawndock.Gatekeeper.RequestClass;
 import fawndock.Gatekeeper.Rules;
 import fawndock.settings.DaemonSettings.CounterParts;
@@ -31,8 +29,8 @@
  * in the operators' manual.
  */
 public final class SettingsFile {
-    private static final long HOUR = 3_600_000_000L;
-    private static final double MANY = 1e9;
+    private static final long HOUR = Entries.HOUR;
+    private static final double MANY = Entries.MANY;
     private static final Set<String> OFTEN = Set.of("class", "plan", "key", "route", "peer", "server");
     private final List<Mistake> mistakes = new ArrayList<>();
     private final Map<String, Consumer<Line>> keywords = new LinkedHashMap<>();
@@ -257,18 +255,7 @@
     private void requestClass(Line line) {
         Args a = args(line, 1, "class NAME aim TIME deadline TIME [worth N] [late-worth N] [repeat WORD] "
                 + "[group WORD] [window TIME] [streamed yes|no] [aim-stretch N]");
-        long deadline = a.time("deadline", 1_000, HOUR, 1_000_000);
-        RequestClass c = new RequestClass(a.place(0), a.time("aim", 1_000, HOUR, deadline),
-                a.number("aim-stretch", 0, MANY, 0), deadline, a.number("worth", 0, MANY, 1),
-                a.number("late-worth", 0, 1, 0), a.oneOf("repeat", Repeat.class, Repeat.AT_MOST_ONCE),
-                a.oneOf("group", Group.class, Group.CELL), a.time("window", 0, HOUR, 0),
-                a.flag("streamed", false));
-        if (c.aimMicros() > c.deadlineMicros()) {
-            a.wrong("the aim of " + c.name() + " is beyond its deadline", "aim at most deadline");
-        }
-        if (c.repeat() == Repeat.DEDUPLICATED && c.repeatWindowMicros() == 0) {
-            a.wrong("class " + c.name() + " is deduplicated without a window", "window TIME");
-        }
+        RequestClass c = Entries.requestClass(a);
         if (classes.putIfAbsent(c.name(), c) != null) {
             a.wrong("class " + c.name() + " is given twice", "each class once");
         }
@@ -278,16 +265,7 @@
     private void plan(Line line) {
         Args a = args(line, 1, "plan NAME [rate N] [store N] [open N] [pays N] [over-worth N] [over-cost N] "
                 + "[ceiling-rate N] [ceiling-burst N] [ceiling-slack N]");
-        Plan p = new Plan(a.place(0), a.number("rate", 0, MANY, 0), a.number("store", 0, MANY, 0),
-                a.whole("open", 0, 1_000_000, 0), a.number("pays", 0, MANY, 1), a.number("over-worth", 0, MANY, 0),
-                a.number("over-cost", 0, MANY, 0), a.number("ceiling-rate", 0, MANY, 0),
-                a.number("ceiling-burst", 0, MANY, 0), a.number("ceiling-slack", 0, MANY, 0));
-        if (p.rate() > 0 && p.storeSize() <= 0) {
-            a.wrong("plan " + p.name() + " has a rate and no store", "store N above 0");
-        }
-        if (p.ceilingRate() > 0 && p.ceilingBurst() <= 0) {
-            a.wrong("plan " + p.name() + " has a ceiling-rate and no ceiling-burst", "ceiling-burst N above 0");
-        }
+        Plan p = Entries.plan(a);
         if (plans.putIfAbsent(p.name(), p) != null) {
             a.wrong("plan " + p.name() + " is given twice", "each plan once");
         }
