--- a/src/main/java/fawndock/gateway/GatekeeperHost.java
+++ b/src/main/java/fawndock/gateway/GatekeeperHost.java
@@ -196,6 +196,9 @@
         // The first attempt takes the fields as they are; another may be on its way with them.
         MultiMap headers = attempt.number == 0 ? asked.headers() : HttpHeaders.headers().addAll(asked.headers());
         headers.set("x-envoy-expected-rq-timeout-ms", Long.toString(Math.max(1, (abandonAt - clock.now()) / 1_000)));
+        if (!headers.contains("x-request-id")) {
+            headers.set("x-request-id", Long.toString(request.id));
+        }
         headers.set("x-envoy-attempt-count", Integer.toString(attempt.number + 1));
         target.setMethod(asked.method()).setURI(asked.uri()).setHeaders(headers);
         attempt.start(target, abandonAt);
--- a/src/test/java/fawndock/gateway/FrontTest.java
+++ b/src/test/java/fawndock/gateway/FrontTest.java
@@ -34,13 +34,14 @@
     @Test
     void theGatekeeperIsToldWhoAsksAndHowLongIsLeft() throws Exception {
         try (Setup s = new Setup(r -> r.response().end("ok " + r.getHeader("x-api-key") + " "
-                + r.getHeader("idempotency-key") + " " + r.version()))) {
+                + r.getHeader("idempotency-key") + " " + r.version() + " " + r.getHeader("x-request-id")))) {
             HttpResponse<String> answer = s.send(s.to("/update").PUT(HttpRequest.BodyPublishers.ofString("body"))
                     .header("idempotency-key", "\"abc\"").header("x-envoy-expected-rq-timeout-ms", "700")
                     .header("x-envoy-attempt-count", "2").version(HttpClient.Version.HTTP_2))
                     .get(20, TimeUnit.SECONDS);
-            assertEquals("ok null \"abc\" HTTP_2", answer.body(), "the key stays here, the idempotency key goes on");
             Request r = s.gatekeeper.await(Request.class);
+            assertEquals("ok null \"abc\" HTTP_2 " + r.id(), answer.body(),
+                    "the key stays here, the idempotency key goes on");
             assertEquals("update basic one true", r.requestClass() + " " + r.plan() + " " + r.customer() + " "
                     + r.repeat());
             long left = r.giveUpAtMicros() - MicroClock.systemMicros();
