Drills end in one place, and their steps need no wrappers

Cause: read over once more, the change had the same ending of a drill four times (two of them deleted the gatekeepers' logs also when a rule was broken), the same wrapper of a void step three times, and the way from a try to its operation twice. Change: Scene.conclude ends every drill and keeps settings and logs on a breach; a Script's step is a Happening that returns nothing; RuleChecker.operation serves Service as well.

--- a/src/main/java/fawndock/drill/BadDay.java
+++ b/src/main/java/fawndock/drill/BadDay.java
@@ -68,16 +68,8 @@
             List<Seen> trace = scene.recorder.all();
             Verdict verdict = RuleChecker.judge(trace, figures(scene));
             summary(traffic, trace);
-            verdict.breaches().forEach(b -> out.println("  " + b));
-            if (verdict.kept()) {
-                scene.close();
-                scene.clean();
-            } else {
-                out.println("settings and logs of the gatekeepers: " + scene.folder());
-            }
             out.printf("%.1f s in all%n", (System.nanoTime() - began) / 1e9);
-            out.println(verdict.line());
-            return verdict.kept();
+            return scene.conclude(verdict, out);
         }
     }
 
@@ -97,72 +89,66 @@
         Function<Integer, Worker> w = s.workers::get;
         return new Script()
                 // Stand-ins and records start cold as well, and it is not their start that is judged.
-                .at(1.5, "traffic is at its full height", () -> run(() -> traffic.factor(1)))
+                .at(1.5, "traffic is at its full height", () -> traffic.factor(1))
                 .at(2, "worker-1 is 8 times slower", () -> w.apply(1).change(f -> f.slow = 8))
-                .at(4, "the counter falls silent", () -> run(() -> s.counter.silent(true)))
-                .at(5, "gatekeeper 1 is killed", () -> run(() -> s.gatekeepers.kill(1)))
+                .at(4, "the counter falls silent", () -> s.counter.silent(true))
+                .at(5, "gatekeeper 1 is killed", () -> s.gatekeepers.kill(1))
                 .at(6, "worker-2 goes silent", () -> w.apply(2).change(f -> f.silent = true))
                 .at(6.5, "gatekeeper 1 starts again", () -> s.gatekeepers.start(1))
-                .at(8, "the counter answers again", () -> run(() -> s.counter.silent(false)))
-                .at(9, "worker-3 drains", () -> run(() -> {
+                .at(8, "the counter answers again", () -> s.counter.silent(false))
+                .at(9, "worker-3 drains", () -> {
                     s.roster.tell(s.entry(3, "stopping"));
                     w.apply(3).drain();
-                }))
-                .at(10, "all ask twice as much; worker-1 is well", () -> run(() -> {
+                })
+                .at(10, "all ask twice as much; worker-1 is well", () -> {
                     traffic.factor(2);
                     w.apply(1).change(f -> f.slow = 1);
-                }))
+                })
                 .at(11, "worker-3 dies", () -> w.apply(3).die())
-                .at(12, "the counter is gone", () -> run(s.counter::stop))
+                .at(12, "the counter is gone", s.counter::stop)
                 .at(12.2, "worker-2 answers again", () -> w.apply(2).change(f -> f.silent = false))
                 .at(13, "worker-3 comes back cold", () -> w.apply(3).start(true).onSuccess(p ->
                         s.roster.tell(s.entry(3, "running"))))
                 .at(14, "the counter comes back empty; worker-4 loses 30% of its answers", () -> {
                     s.counter.lose(1);
                     s.counter.start();
-                    return w.apply(4).change(f -> f.loseAnswers = 0.3);
+                    w.apply(4).change(f -> f.loseAnswers = 0.3);
                 })
-                .at(14.5, "all ask as before", () -> run(() -> traffic.factor(1)))
-                .at(15, "worker-5 resets 30%, worker-6 refuses half", () -> run(() -> {
+                .at(14.5, "all ask as before", () -> traffic.factor(1))
+                .at(15, "worker-5 resets 30%, worker-6 refuses half", () -> {
                     w.apply(5).change(f -> f.resets = 0.3);
                     w.apply(6).change(f -> f.refuses = 0.5);
-                }))
-                .at(16, "the roster is 1.5 s late", () -> run(() -> s.roster.late(1_500)))
-                .at(17, "the roster is cut off", () -> run(() -> s.roster.cut(true)))
+                })
+                .at(16, "the roster is 1.5 s late", () -> s.roster.late(1_500))
+                .at(17, "the roster is cut off", () -> s.roster.cut(true))
                 .at(18, "worker-7 dies; workers 5 and 6 are well", () -> {
                     w.apply(5).change(f -> f.resets = 0);
                     w.apply(6).change(f -> f.refuses = 0);
-                    return w.apply(7).die();
+                    w.apply(7).die();
                 })
-                .at(19, "a fifth of the clients leave early and try again at once", () -> run(() ->
-                        traffic.leaving(0.2)))
+                .at(19, "a fifth of the clients leave early and try again at once", () -> traffic.leaving(0.2))
                 .at(20, "the roster is back; worker-7 comes back cold", () -> {
                     s.roster.cut(false);
                     s.roster.late(0);
-                    return w.apply(7).start(true).onSuccess(p -> s.roster.tell(s.entry(7, "running")));
+                    w.apply(7).start(true).onSuccess(p -> s.roster.tell(s.entry(7, "running")));
                 })
-                .at(21, "gatekeeper 2 is killed; the counter takes 40 ms", () -> run(() -> {
+                .at(21, "gatekeeper 2 is killed; the counter takes 40 ms", () -> {
                     s.gatekeepers.kill(2);
                     s.counter.slow(40);
-                }))
+                })
                 .at(22, "gatekeeper 2 starts again; the counter loses half of its counts", () -> {
                     s.counter.lose(0.5);
-                    return s.gatekeepers.start(2);
+                    s.gatekeepers.start(2);
                 })
-                .at(23, "clients stay; worker-4 is well; worker-0 fails a third", () -> run(() -> {
+                .at(23, "clients stay; worker-4 is well; worker-0 fails a third", () -> {
                     traffic.leaving(0);
                     w.apply(4).change(f -> f.loseAnswers = 0);
                     w.apply(0).change(f -> f.errors = 0.33);
-                }))
-                .at(24, "the counter is quick again", () -> run(() -> s.counter.slow(0)))
+                })
+                .at(24, "the counter is quick again", () -> s.counter.slow(0))
                 .at(25, "worker-0 is well", () -> w.apply(0).change(f -> f.errors = 0));
     }
 
-    private static Object run(Runnable what) {
-        what.run();
-        return null;
-    }
-
     static void awaitEnds(Traffic traffic) throws InterruptedException {
         long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(8);
         while (traffic.open() > 0 && System.nanoTime() < limit) {
--- a/src/main/java/fawndock/drill/Chaos.java
+++ b/src/main/java/fawndock/drill/Chaos.java
@@ -1,13 +1,10 @@
 package fawndock.drill;
 
 import fawndock.standin.RawClient;
-import fawndock.standin.Seen;
 import fawndock.standin.Worker;
 import java.io.PrintStream;
-import java.util.List;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
-import java.util.concurrent.Callable;
 import java.util.function.Consumer;
 
 /**
@@ -41,24 +38,14 @@
                     BadDay.customers(), BadDay.GATEKEEPERS, scene.gatekeepers::port, seed);
             traffic.factor(0.1);
             traffic.start();
-            script.at(1.5, "traffic is at its full height", () -> run(() -> traffic.factor(1)));
+            script.at(1.5, "traffic is at its full height", () -> traffic.factor(1));
             for (double at = 2; at < seconds - QUIET_END; at += GAP * (0.5 + random.nextDouble())) {
                 draw(at, scene, traffic);
             }
             script.play(seconds, out);
             traffic.stop();
             BadDay.awaitEnds(traffic);
-            List<Seen> trace = scene.recorder.all();
-            Verdict verdict = RuleChecker.judge(trace, BadDay.figures(scene));
-            verdict.breaches().forEach(b -> out.println("  " + b));
-            scene.close();
-            if (verdict.kept()) {
-                scene.clean();
-            } else {
-                out.println("settings and logs of the gatekeepers: " + scene.folder());
-            }
-            out.println(verdict.line());
-            return verdict.kept();
+            return scene.conclude(RuleChecker.judge(scene.recorder.all(), BadDay.figures(scene)), out);
         }
     }
 
@@ -69,36 +56,31 @@
         double share = 0.1 + 0.5 * random.nextDouble();
         int gatekeeper = random.nextInt(BadDay.GATEKEEPERS);
         switch (random.nextInt(13)) {
-            case 0, 1 -> strike("gatekeeper", "gatekeeper " + gatekeeper + " is killed", at, end, () -> run(() ->
-                    s.gatekeepers.kill(gatekeeper)), () -> s.gatekeepers.start(gatekeeper));
+            case 0, 1 -> strike("gatekeeper", "gatekeeper " + gatekeeper + " is killed", at, end, () -> s.gatekeepers.kill(gatekeeper), () -> s.gatekeepers.start(gatekeeper));
             case 2 -> fault(s, worker, "slow", at, end, f -> f.slow = 2 + 10 * share, f -> f.slow = 1);
             case 3 -> fault(s, worker, "silent", at, end, f -> f.silent = true, f -> f.silent = false);
             case 4 -> fault(s, worker, "losing answers", at, end, f -> f.loseAnswers = share, f -> f.loseAnswers = 0);
             case 5 -> fault(s, worker, "resetting", at, end, f -> f.resets = share, f -> f.resets = 0);
             case 6 -> fault(s, worker, "refusing", at, end, f -> f.refuses = share, f -> f.refuses = 0);
             case 7 -> fault(s, worker, "failing", at, end, f -> f.errors = share, f -> f.errors = 0);
-            case 8 -> strike("worker-" + worker, "worker-" + worker + " drains, dies and comes back cold", at, end, () ->
-                    run(() -> {
+            case 8 -> strike("worker-" + worker, "worker-" + worker + " drains, dies and comes back cold", at, end, () -> {
                         s.roster.tell(s.entry(worker, "stopping"));
                         s.workers.get(worker).drain();
-                    }), () -> s.workers.get(worker).die().compose(v -> s.workers.get(worker).start(true))
+                    }, () -> s.workers.get(worker).die().compose(v -> s.workers.get(worker).start(true))
                     .onSuccess(p -> s.roster.tell(s.entry(worker, "running"))));
-            case 9 -> strike("counter", "the counter is silent", at, end, () -> run(() -> s.counter.silent(true)), () ->
-                    run(() -> s.counter.silent(false)));
-            case 10 -> strike("counter", "the counter is gone, and comes back empty", at, end, () ->
-                    run(s.counter::stop), () -> {
+            case 9 -> strike("counter", "the counter is silent", at, end, () -> s.counter.silent(true), () -> s.counter.silent(false));
+            case 10 -> strike("counter", "the counter is gone, and comes back empty", at, end, s.counter::stop, () -> {
                         s.counter.lose(1);
-                        return s.counter.start();
+                        s.counter.start();
                     });
-            case 11 -> strike("roster", "the roster is cut off", at, end, () -> run(() -> s.roster.cut(true)), () ->
-                    run(() -> s.roster.cut(false)));
-            default -> strike("traffic", "twice the traffic, some clients leave early", at, end, () -> run(() -> {
+            case 11 -> strike("roster", "the roster is cut off", at, end, () -> s.roster.cut(true), () -> s.roster.cut(false));
+            default -> strike("traffic", "twice the traffic, some clients leave early", at, end, () -> {
                 traffic.factor(2);
                 traffic.leaving(share / 3);
-            }), () -> run(() -> {
+            }, () -> {
                 traffic.factor(1);
                 traffic.leaving(0);
-            }));
+            });
         }
     }
 
@@ -109,23 +91,19 @@
     }
 
     /** One thing has one trouble at a time; what is drawn for it meanwhile falls away. */
-    private void strike(String whom, String what, double at, double end, Callable<?> on, Callable<?> off) {
+    private void strike(String whom, String what, double at, double end, Script.Happening on, Script.Happening off) {
         boolean[] mine = {false};
         script.at(at, what, () -> {
             mine[0] = struck.add(whom);
-            return mine[0] ? on.call() : null;
+            if (mine[0]) {
+                on.happen();
+            }
         });
         script.at(end, "end: " + what, () -> {
-            if (!mine[0]) {
-                return null;
+            if (mine[0]) {
+                struck.remove(whom);
+                off.happen();
             }
-            struck.remove(whom);
-            return off.call();
         });
     }
-
-    private static Object run(Runnable what) {
-        what.run();
-        return null;
-    }
 }
--- a/src/main/java/fawndock/drill/DayDrill.java
+++ b/src/main/java/fawndock/drill/DayDrill.java
@@ -65,11 +65,7 @@
             out.printf("worth served within its aim, of what was asked inside quotas: %.2f%n",
                     Service.judge(trace, figures));
             unknown.forEach(k -> out.println("not played, no such kind here: " + k));
-            verdict.breaches().forEach(b -> out.println("  " + b));
-            scene.close();
-            scene.clean();
-            out.println(verdict.line());
-            return verdict.kept();
+            return scene.conclude(verdict, out);
         }
     }
 
@@ -139,13 +135,13 @@
                         () -> traffic.factorOf(plan, 1));
             }
             case "hot_caller" -> during(t, what, script, () -> traffic.hot(t.size()), () -> traffic.hot(0));
-            case "reconnect" -> script.at(t.at(), what, () -> run(traffic::shift));
+            case "reconnect" -> script.at(t.at(), what, traffic::shift);
             case "retry_abuse" -> during(t, what, script, () -> traffic.abuse(true), () -> traffic.abuse(false));
             case "give_up" -> during(t, what, script, () -> traffic.leaving(Math.min(0.5, t.size())),
                     () -> traffic.leaving(0));
             case "origin_slow" -> during(t, what, script, () -> s.counter.slow(Math.round(1.5 * t.size())),
                     () -> s.counter.slow(0));
-            case "flush" -> script.at(t.at(), what, () -> run(() -> s.counter.lose(Math.min(1, t.size()))));
+            case "flush" -> script.at(t.at(), what, () -> s.counter.lose(Math.min(1, t.size())));
             case "counter_down" -> counterDown(t, what, script, s);
             case "shrink", "deploy" -> fleet(t, what, script, s, traffic);
             default -> unknown.add(t.kind());
@@ -181,9 +177,8 @@
         double grace = Math.max(2, day.drainGraceMicros() / 1e6);
         double owed = 0;
         if (!deploy) {
-            script.at(t.at(), "traffic falls to " + Math.round(100 / Math.max(1, t.size())) + "%", () -> run(() ->
-                    traffic.factor(1 / Math.max(1, t.size()))));
-            script.at(t.at() + t.seconds(), "traffic is back", () -> run(() -> traffic.factor(1)));
+            script.at(t.at(), "traffic falls to " + Math.round(100 / Math.max(1, t.size())) + "%", () -> traffic.factor(1 / Math.max(1, t.size())));
+            script.at(t.at() + t.seconds(), "traffic is back", () -> traffic.factor(1));
         }
         for (DayFile.Step step : t.steps()) {
             owed += step.stop() * WORKERS;
@@ -192,19 +187,18 @@
             if (going.isEmpty()) {
                 continue;
             }
-            script.at(step.at(), what + ": workers " + going + " drain", () -> run(() -> going.forEach(i -> {
+            script.at(step.at(), what + ": workers " + going + " drain", () -> going.forEach(i -> {
                 s.roster.tell(s.entry(i, "stopping"));
                 s.workers.get(i).drain();
-            })));
-            script.at(step.at() + grace + 1, "workers " + going + (deploy ? " start again, cold" : " are gone"), () ->
-                    run(() -> going.forEach(i -> {
+            }));
+            script.at(step.at() + grace + 1, "workers " + going + (deploy ? " start again, cold" : " are gone"), () -> going.forEach(i -> {
                         if (deploy) {
                             restart(s, i);
                         } else {
                             s.roster.tell(s.entry(i, "deleted"));
                             s.workers.get(i).die();
                         }
-                    })));
+                    }));
         }
     }
 
@@ -214,13 +208,8 @@
     }
 
     private static void during(DayFile.Trouble t, String what, Script script, Runnable begin, Runnable end) {
-        script.at(t.at(), what, () -> run(begin));
-        script.at(t.at() + t.seconds(), "end of " + t.kind(), () -> run(end));
-    }
-
-    private static Object run(Runnable what) {
-        what.run();
-        return null;
+        script.at(t.at(), what, begin::run);
+        script.at(t.at() + t.seconds(), "end of " + t.kind(), end::run);
     }
 
     private static void faults(Scene s, List<Integer> on, Consumer<Worker.Faults> how) {
--- a/src/main/java/fawndock/drill/Demo.java
+++ b/src/main/java/fawndock/drill/Demo.java
@@ -63,12 +63,8 @@
             }
             traffic.stop();
             BadDay.awaitEnds(traffic);
-            Verdict verdict = RuleChecker.judge(scene.recorder.all(), BadDay.figures(scene));
-            verdict.breaches().forEach(b -> out.println("  " + b));
-            out.println(verdict.line());
-            scene.close();
-            scene.clean();
-            return verdict.kept() && traffic.ended(200) > 0;
+            return scene.conclude(RuleChecker.judge(scene.recorder.all(), BadDay.figures(scene)), out)
+                    && traffic.ended(200) > 0;
         }
     }
 }
--- a/src/main/java/fawndock/drill/RuleChecker.java
+++ b/src/main/java/fawndock/drill/RuleChecker.java
@@ -88,7 +88,8 @@
         }
     }
 
-    private static String operation(String request) {
+    /** What a request is a try of: its id without the number of the try. */
+    static String operation(String request) {
         int dot = request.lastIndexOf('.');
         return dot < 0 ? request : request.substring(0, dot);
     }
--- a/src/main/java/fawndock/drill/Scene.java
+++ b/src/main/java/fawndock/drill/Scene.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -94,8 +95,7 @@
         return folder;
     }
 
-    /** Deletes the gatekeepers' settings and logs. */
-    public void clean() throws IOException {
+    private void clean() throws IOException {
         try (Stream<Path> files = Files.walk(folder)) {
             for (Path each : files.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(each);
@@ -103,6 +103,22 @@
         }
     }
 
+    /**
+     * Ends a drill: prints the breaches, closes everything, and prints the verdict last. The gatekeepers' settings and
+     * logs stay when a rule was broken.
+     */
+    public boolean conclude(Verdict verdict, PrintStream out) throws IOException {
+        verdict.breaches().forEach(b -> out.println("  " + b));
+        close();
+        if (verdict.kept()) {
+            clean();
+        } else {
+            out.println("settings and logs of the gatekeepers: " + folder);
+        }
+        out.println(verdict.line());
+        return verdict.kept();
+    }
+
     @Override
     public void close() throws IOException {
         if (closed) {
--- a/src/main/java/fawndock/drill/Script.java
+++ b/src/main/java/fawndock/drill/Script.java
@@ -4,17 +4,23 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.concurrent.Callable;
 
 /** Troubles by the second, played in order on the calling thread. */
 public final class Script {
-    private record Step(double second, String what, Callable<?> how) {
+    /** Something that a script does. */
+    @FunctionalInterface
+    public interface Happening {
+        /** Does it, at once. */
+        void happen() throws Exception;
+    }
+
+    private record Step(double second, String what, Happening how) {
     }
 
     private final List<Step> steps = new ArrayList<>();
 
     /** Adds something that happens at a second of the script; it must not take long. */
-    public Script at(double second, String what, Callable<?> how) {
+    public Script at(double second, String what, Happening how) {
         steps.add(new Step(second, what, how));
         return this;
     }
@@ -26,7 +32,7 @@
         for (Step step : steps) {
             waitUntil(start, step.second);
             out.printf("%5.1f s  %s%n", step.second, step.what);
-            step.how.call();
+            step.how.happen();
         }
         waitUntil(start, until);
     }
--- a/src/main/java/fawndock/drill/Service.java
+++ b/src/main/java/fawndock/drill/Service.java
@@ -25,7 +25,7 @@
         Map<String, Long> answered = new HashMap<>();
         for (Seen seen : trace) {
             if (seen instanceof Answered a && a.status() == 200) {
-                answered.merge(operation(a.request()), a.at(), Math::min);
+                answered.merge(RuleChecker.operation(a.request()), a.at(), Math::min);
             }
         }
         Map<String, double[]> stores = new HashMap<>();
@@ -35,7 +35,7 @@
         List<Asked> all = trace.stream().filter(Asked.class::isInstance).map(Asked.class::cast)
                 .sorted(Comparator.comparingLong(Asked::at)).toList();
         for (Asked a : all) {
-            String operation = operation(a.request());
+            String operation = RuleChecker.operation(a.request());
             Plan plan = figures.plans().get(a.customer());
             RequestClass type = figures.classes().get(a.type());
             if (plan == null || type == null || !taken.add(operation)) {
@@ -58,8 +58,4 @@
         }
         return offered == 0 ? 0 : served / offered;
     }
-
-    private static String operation(String request) {
-        return request.substring(0, Math.max(0, request.lastIndexOf('.')));
-    }
 }
