--- a/src/main/java/fawndock/cli/DrillCommand.java
+++ b/src/main/java/fawndock/cli/DrillCommand.java
@@ -1,12 +1,14 @@
 package fawndock.cli;
 
 import fawndock.drill.BadDay;
+import fawndock.drill.DayDrill;
+import fawndock.drill.DayFile;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 
 /** {@code fawndock drill NAME}: troubles on loopback, judged by what crossed the sockets. */
 @Command(name = "drill", mixinStandardHelpOptions = true, description = "Plays troubles and judges the rules.",
-        subcommands = {DrillCommand.BadDayDrill.class})
+        subcommands = {DrillCommand.BadDayDrill.class, DrillCommand.Day.class})
 final class DrillCommand implements Callable<Integer> {
     @picocli.CommandLine.Spec
     private picocli.CommandLine.Model.CommandSpec spec;
@@ -30,4 +32,27 @@
             return new BadDay(seed, System.out).run() ? 0 : 1;
         }
     }
+
+    /** A day that the bench drew. */
+    @Command(name = "day", mixinStandardHelpOptions = true,
+            description = "Plays the troubles of a day file of lbsim draw, scaled to loopback.")
+    static final class Day implements Callable<Integer> {
+        @picocli.CommandLine.Parameters(paramLabel = "FILE", description = "the day file")
+        private java.nio.file.Path file;
+        @picocli.CommandLine.Option(names = "--seed", defaultValue = "1", description = "of the customers' demand")
+        private long seed;
+
+        @Override
+        public Integer call() throws Exception {
+            Logs.to(new fawndock.settings.DaemonSettings.Log(false, "warn"));
+            DayFile day;
+            try {
+                day = DayFile.read(file);
+            } catch (java.io.IOException e) {
+                System.err.println(e.getMessage());
+                return 2;
+            }
+            return new DayDrill(day, seed, System.out).run() ? 0 : 1;
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/fawndock/drill/Service.java
@@ -0,0 +1,65 @@
+package fawndock.drill;
+
+import fawndock.Gatekeeper.Plan;
+import fawndock.Gatekeeper.RequestClass;
+import fawndock.standin.Seen;
+import fawndock.standin.Seen.Answered;
+import fawndock.standin.Seen.Asked;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * How much worth was answered within its aim, as a share of the worth asked inside the quotas. Each customer's store
+ * is replayed over its operations as one gateway that saw all first tries would have it; a later try's answer counts
+ * for its operation, from the first try's time.
+ */
+final class Service {
+    private Service() {
+    }
+
+    static double judge(List<Seen> trace, Figures figures) {
+        Map<String, Long> answered = new HashMap<>();
+        for (Seen seen : trace) {
+            if (seen instanceof Answered a && a.status() == 200) {
+                answered.merge(operation(a.request()), a.at(), Math::min);
+            }
+        }
+        Map<String, double[]> stores = new HashMap<>();
+        Set<String> taken = new HashSet<>();
+        double offered = 0;
+        double served = 0;
+        List<Asked> all = trace.stream().filter(Asked.class::isInstance).map(Asked.class::cast)
+                .sorted(Comparator.comparingLong(Asked::at)).toList();
+        for (Asked a : all) {
+            String operation = operation(a.request());
+            Plan plan = figures.plans().get(a.customer());
+            RequestClass type = figures.classes().get(a.type());
+            if (plan == null || type == null || !taken.add(operation)) {
+                continue;
+            }
+            double worth = type.worth() * plan.pays() * a.units();
+            boolean inside = plan.rate() <= 0;
+            if (!inside) {
+                double[] store = stores.computeIfAbsent(a.customer(), c -> new double[] {plan.storeSize(), a.at()});
+                store[0] = Math.min(plan.storeSize(), store[0] + (a.at() - store[1]) / 1e6 * plan.rate());
+                store[1] = a.at();
+                inside = store[0] >= a.units();
+                store[0] -= inside ? a.units() : 0;
+            }
+            if (inside) {
+                offered += worth;
+                Long at = answered.get(operation);
+                served += at != null && at <= a.at() + type.aimMicros() ? worth : 0;
+            }
+        }
+        return offered == 0 ? 0 : served / offered;
+    }
+
+    private static String operation(String request) {
+        return request.substring(0, Math.max(0, request.lastIndexOf('.')));
+    }
+}
