--- a/src/main/java/fawndock/cli/CounterCommand.java
+++ b/src/main/java/fawndock/cli/CounterCommand.java
@@ -16,7 +16,7 @@
 
 /** {@code fawndock counter -c FILE}: the counter service in the foreground, until SIGTERM or SIGINT. */
 @Command(name = "counter", mixinStandardHelpOptions = true, description = "Runs the counter service in the foreground.",
-        subcommands = CounterCommand.Status.class,
+        subcommands = {CounterCommand.Status.class, NodesCommand.class},
         exitCodeListHeading = "Exit codes:%n", exitCodeList = {"1:could not start, such as on a damaged log",
             "2:mistakes in the settings", "143:stopped by SIGTERM after committing what was taken"})
 final class CounterCommand implements Callable<Integer> {
--- a/src/main/java/fawndock/cli/DrillCommand.java
+++ b/src/main/java/fawndock/cli/DrillCommand.java
@@ -100,7 +100,7 @@
         private int nodes;
         @picocli.CommandLine.Option(names = "--only", defaultValue = "", description = "breaks with this in their names")
         private String only;
-        @picocli.CommandLine.Option(names = "--seconds", defaultValue = "2", description = "of a break, from 1 to 60")
+        @picocli.CommandLine.Option(names = "--seconds", defaultValue = "1.6", description = "of a break, from 1 to 60")
         private double seconds;
         @picocli.CommandLine.Option(names = "--seed", defaultValue = "1", description = "of the traffic")
         private long seed;
--- a/src/main/java/fawndock/counter/FellowLink.java
+++ b/src/main/java/fawndock/counter/FellowLink.java
@@ -27,23 +27,28 @@
     private final Address address;
     private final String password;
     private final Consumer<Boolean> answered;
+    private final Consumer<String> beaten;
     private final Runnable lost;
     /** For each command that is out, whether its answer is waited for. */
     private final ArrayDeque<Boolean> out = new ArrayDeque<>();
     private Channel channel;
     private boolean connecting;
+    private boolean closed;
     private long tryAt = System.nanoTime();
 
     /**
      * A connection that is made when it is first asked for.
      *
      * @param answered told when what was to be confirmed was, or was refused
+     * @param beaten told the answer to what was not to be confirmed
      * @param lost told when the connection is lost
      */
-    FellowLink(EventLoopGroup group, Address address, String password, Consumer<Boolean> answered, Runnable lost) {
+    FellowLink(EventLoopGroup group, Address address, String password, Consumer<Boolean> answered,
+               Consumer<String> beaten, Runnable lost) {
         this.address = address;
         this.password = password;
         this.answered = answered;
+        this.beaten = beaten;
         this.lost = lost;
         bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
@@ -57,7 +62,7 @@
 
     /** Whether something can be sent now; begins to connect when there is no connection. */
     boolean usable() {
-        if (channel == null && !connecting && System.nanoTime() - tryAt >= 0) {
+        if (channel == null && !connecting && !closed && System.nanoTime() - tryAt >= 0) {
             connecting = true;
             bootstrap.connect(address.host(), address.port()).addListener(made -> {
                 connecting = false;
@@ -67,6 +72,18 @@
         return channel != null && channel.isWritable() && out.size() < MOST_OUT;
     }
 
+    Address address() {
+        return address;
+    }
+
+    /** Ends it for good; nothing is told after this. */
+    void close() {
+        closed = true;
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
     void send(List<String> words, boolean confirmed) {
         ByteBuf bytes = channel.alloc().buffer(256);
         bytes.writeCharSequence("*" + words.size() + "\r\n", StandardCharsets.US_ASCII);
@@ -82,6 +99,10 @@
     private final class Answers extends SimpleChannelInboundHandler<ByteBuf> {
         @Override
         public void channelActive(ChannelHandlerContext context) {
+            if (closed) {
+                context.close();
+                return;
+            }
             channel = context.channel();
             out.clear();
             if (!password.isEmpty()) {
@@ -91,8 +112,11 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf line) {
+            String text = line.toString(StandardCharsets.UTF_8);
             if (!out.isEmpty() && out.poll()) {
-                answered.accept(line.isReadable() && line.getByte(line.readerIndex()) != '-');
+                answered.accept(!text.isEmpty() && text.charAt(0) != '-');
+            } else {
+                beaten.accept(text);
             }
         }
 
@@ -100,7 +124,9 @@
         public void channelInactive(ChannelHandlerContext context) {
             if (channel == context.channel()) {
                 channel = null;
-                lost.run();
+                if (!closed) {
+                    lost.run();
+                }
             }
         }
 
--- a/src/main/java/fawndock/counter/Fleet.java
+++ b/src/main/java/fawndock/counter/Fleet.java
@@ -2,11 +2,13 @@
 
 import fawndock.counter.core.Amount;
 import fawndock.counter.core.CountException;
+import fawndock.counter.replica.NodeList;
 import fawndock.counter.replica.ReplicaNode;
 import fawndock.counter.replica.ReplicaNode.Batch;
 import fawndock.counter.replica.ReplicaNode.Beat;
 import fawndock.counter.replica.Sum;
 import fawndock.counter.replica.Sums;
+import fawndock.settings.Address;
 import fawndock.settings.CounterSettings;
 import io.netty.channel.EventLoopGroup;
 import java.util.ArrayDeque;
@@ -30,11 +32,17 @@
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
     /** Sums to another node at once; one has at most three changes of some 1 KiB in the log. */
     private static final int SUMS = 100;
+    /** What an answer to a beat begins with that tells a newer list of nodes. */
+    private static final String LIST = "LIST ";
+    /** The error for a node that is not on this node's list. */
+    private static final String STRANGER = "STRANGER";
     private static final int SUM_WORDS = 5;
     private static final int CHANGES_A_SUM = 3;
     private final ReplicaNode node;
     private final Engine engine;
     private final String name;
+    private final EventLoopGroup group;
+    private final String password;
     private final Map<String, FellowLink> links = new TreeMap<>();
     private final Map<String, Boolean> heard = new HashMap<>();
     /** For each other node what is to be told of a batch; the first of it is out when the node is in the set. */
@@ -46,22 +54,60 @@
         this.engine = engine;
         CounterSettings.Fleet fleet = settings.fleet();
         name = fleet.node();
-        node = new ReplicaNode(List.copyOf(fleet.fellows().keySet()), fleet.epoch(),
+        this.group = group;
+        password = settings.password();
+        node = new ReplicaNode(name, List.copyOf(fleet.fellows().keySet()), fleet.epoch(),
                 ThreadLocalRandom.current().nextLong(), new ReplicaNode.Times(fleet.missingMillis(),
                 fleet.aloneMillis()), new Sums(engine.counts()), engine.now());
-        fleet.fellows().forEach((id, address) -> links.put(id, new FellowLink(group, address, settings.password(),
-                ok -> answered(id, ok), () -> lost(id))));
+        fleet.fellows().forEach(this::link);
         ready = node.ready();
     }
 
+    private void link(String id, Address address) {
+        links.put(id, new FellowLink(group, address, password, ok -> answered(id, ok),
+                text -> beaten(id, text), () -> lost(id)));
+    }
+
+    /** Another node has answered a beat. */
+    private void beaten(String id, String answer) {
+        if (answer.startsWith("+" + LIST)) {
+            adopt(NodeList.of(answer.substring(1 + LIST.length())));
+        } else if (answer.startsWith("-" + STRANGER) && node.others().contains(id)) {
+            node.strange(id, engine.now());
+        }
+    }
+
+    /** Goes by a newer list of nodes, and keeps the connections to those that are on it at the same address. */
+    private void adopt(NodeList list) {
+        if (!node.adopt(list, engine.now())) {
+            return;
+        }
+        LOG.info("goes by a new list of nodes: {}", list);
+        for (String id : List.copyOf(links.keySet())) {
+            if (!links.get(id).address().toString().equals(list.addresses().get(id))) {
+                links.remove(id).close();
+                heard.remove(id);
+                lost(id);
+            }
+        }
+        list.addresses().forEach((id, address) -> {
+            if (!id.equals(name) && !links.containsKey(id)) {
+                link(id, Address.of(address));
+            }
+        });
+    }
+
     List<Command> commands() {
         return List.of(
                 new Command("FD.SUM", 6, true, 1, 1, CHANGES_A_SUM, c -> c.reply().bulk(
                         node.ask(sum(c, 1), c.now(), c.changes()).toString())),
-                new Command("FD.HERE", 2, false, 0, 0, c -> {
-                    node.here(c.whole(1), c.now());
+                new Command("FD.HERE", 3, false, 0, 0, c -> {
+                    node.here(c.whole(1), c.whole(2), c.now());
+                    c.reply().array(2);
                     c.reply().flag(node.ready());
+                    c.reply().integer(node.version());
                 }),
+                new Command("FD.NODES", -1, false, 0, 0, this::nodes),
                 new Command("FD.BEAT", -5, false, 0, 0, this::beat),
                 new Command("FD.TOLD", -3, true, 0, 0, CHANGES_A_SUM, this::told),
                 new Command("FD.STATUS", 1, false, 0, 0, this::status));
@@ -81,27 +127,51 @@
         return new Sum(c.text(at), c.whole(at + 1), plus, minus, keep);
     }
 
+    /** FD.NODES [epoch name=host:port ...], which gives a list when there are words: the list that it goes by. */
+    private void nodes(Call c) throws CountException {
+        if (name.isEmpty()) {
+            throw new CountException("ERR this counter is alone, expected 'fleet NAME' in its settings");
+        }
+        if (c.words().length > 1) {
+            List<String> words = new ArrayList<>();
+            for (int i = 1; i < c.words().length; i++) {
+                words.add(c.text(i));
+            }
+            try {
+                adopt(NodeList.of(String.join(" ", words)));
+            } catch (IllegalArgumentException e) {
+                throw new CountException("ERR " + e.getMessage());
+            }
+        }
+        c.reply().bulk(node.given() == null ? "" : node.given().toString());
+    }
+
     private void known(String other) throws CountException {
         if (!links.containsKey(other)) {
-            throw new CountException("ERR no node '" + other + "' on this node's list");
+            throw new CountException(STRANGER + " no node '" + other + "' on this node's list");
         }
     }
 
-    /** FD.BEAT node epoch start ready [gatekeeper milliseconds ...] */
+    /** FD.BEAT node version start ready [gatekeeper stamp ...] */
     private void beat(Call c) throws CountException {
         if (c.words().length % 2 == 0) {
             throw Call.syntax();
         }
-        Map<Long, Long> ago = new HashMap<>();
+        Map<Long, Long> stamps = new HashMap<>();
         for (int i = 5; i < c.words().length; i += 2) {
-            ago.put(c.whole(i), Math.max(0, c.whole(i + 1)));
+            stamps.put(c.whole(i), c.whole(i + 1));
         }
-        Beat beat = new Beat(c.whole(2), c.whole(3), c.whole(4) == 1, ago);
-        if (beat.epoch() <= node.epoch()) {
+        Beat beat = new Beat(c.whole(2), c.whole(3), c.whole(4) == 1, stamps);
+        NodeList newer = node.newerThan(beat.version());
+        if (newer == null && beat.version() <= node.version()) {
             known(c.text(1));
         }
         node.beat(c.text(1), beat, c.now());
-        c.reply().ok();
+        if (newer == null) {
+            c.reply().ok();
+        } else {
+            c.reply().simple(LIST + newer);
+        }
     }
 
     /** FD.TOLD node all [name gatekeeper added taken-back milliseconds ...] */
@@ -125,7 +195,7 @@
 
     private void status(Call c) {
         List<String> lines = new ArrayList<>();
-        lines.add((name.isEmpty() ? "alone" : name) + " epoch " + node.epoch() + (node.fenced() ? " fenced"
+        lines.add((name.isEmpty() ? "alone" : name) + " epoch " + NodeList.epoch(node.version()) + (node.fenced() ? " fenced"
                 : node.ready() ? " ready" : " catching-up"));
         for (String other : node.others()) {
             int lag = node.lag(other);
@@ -149,11 +219,11 @@
             if (!link.usable()) {
                 return;
             }
-            List<String> words = new ArrayList<>(List.of("FD.BEAT", name, Long.toString(beat.epoch()),
+            List<String> words = new ArrayList<>(List.of("FD.BEAT", name, Long.toString(beat.version()),
                     Long.toString(beat.start()), beat.ready() ? "1" : "0"));
-            beat.heardMillis().forEach((origin, ago) -> {
+            beat.stamps().forEach((origin, stamp) -> {
                 words.add(Long.toString(origin));
-                words.add(Long.toString(ago));
+                words.add(Long.toString(stamp));
             });
             link.send(words, false);
             tell(id, link, now);
@@ -190,6 +260,9 @@
 
     private void answered(String id, boolean ok) {
         out.remove(id);
+        if (!links.containsKey(id)) {
+            return;
+        }
         node.arriving(id, engine.now());
         if (!ok) {
             return; // Its log is behind: the same part again at the next tick.
@@ -207,6 +280,8 @@
     private void lost(String id) {
         out.remove(id);
         parts.remove(id);
-        node.lost(id);
+        if (node.others().contains(id)) {
+            node.lost(id);
+        }
     }
 }
--- a/src/main/java/fawndock/counter/replica/ReplicaClient.java
+++ b/src/main/java/fawndock/counter/replica/ReplicaClient.java
@@ -21,15 +21,23 @@
     public enum Result { OK, TIMEOUT, UNREACHABLE, REFUSED }
 
     /** What the client wants done. */
-    public sealed interface Out permits Ask, Here, End {
+    public sealed interface Out permits Ask, Here, End, Fetch, Give {
     }
 
     /** Sends sums to a node and asks for the total; call 0 only tells, and nothing waits for its answer. */
     public record Ask(String node, long call, Sum sum) implements Out {
     }
 
-    /** Shows a node that this gatekeeper is there, and asks whether the node is ready. */
-    public record Here(String node) implements Out {
+    /** Shows a node that this gatekeeper is there, and asks whether the node is ready; the stamp is a new one each time. */
+    public record Here(String node, long stamp) implements Out {
+    }
+
+    /** Asks a node for the list of nodes that it goes by. */
+    public record Fetch(String node) implements Out {
+    }
+
+    /** Gives a node a newer list than it has; it may have lost it with all that it had. */
+    public record Give(String node, NodeList list) implements Out {
     }
 
     /** A call has ended; the total counts only when it is OK. */
@@ -87,6 +95,8 @@
     private final ArrayDeque<String> toTell = new ArrayDeque<>();
     private final Map<String, List<String>> orders = new HashMap<>();
     private long nextCall = 1;
+    private long stamp;
+    private NodeList given;
 
     /**
      * A client that takes every node for well until it hears otherwise.
@@ -99,6 +109,38 @@
         nodes.forEach(each -> this.nodes.put(each, new Node()));
     }
 
+    /**
+     * Goes by a newer list of nodes, told by one of them: each that is new to it is asked once it is ready, and all sums are
+     * told anew.
+     *
+     * @return false when it has this list, or a newer one
+     */
+    public boolean adopt(NodeList list, long now, List<Out> out) {
+        if (given != null && list.version() <= given.version()) {
+            return false;
+        }
+        given = list;
+        nodes.keySet().retainAll(list.addresses().keySet());
+        for (String each : list.addresses().keySet()) {
+            nodes.computeIfAbsent(each, id -> {
+                Node node = new Node();
+                node.well = false; // Until it says that it has caught up.
+                return node;
+            });
+        }
+        orders.clear();
+        tellAll();
+        for (Call call : List.copyOf(calls.values())) {
+            ask(call, now, out); // The one that was asked may be off the list.
+        }
+        return true;
+    }
+
+    /** The newest list that it was told, or null while it goes by the one in its settings. */
+    public NodeList given() {
+        return given;
+    }
+
     /** Adds to a name, or takes back with a negative amount; returns the call's number. */
     public long call(String name, Amount amount, long keepMillis, long now, List<Out> out) throws CountException {
         Own mine = own.get(name);
@@ -176,7 +218,7 @@
 
     /** A node answered a call, or a telling, with the total. */
     public void answered(String node, long id, double total, List<Out> out) {
-        nodes.get(node).waitsSince = -1;
+        known(node).waitsSince = -1;
         Call call = calls.get(id);
         if (call != null) {
             end(call, Result.OK, total, out);
@@ -185,7 +227,7 @@
 
     /** A node refused a call, such as one that has not caught up; it has kept nothing of it. */
     public void refused(String node, long id, boolean notReady, long now, List<Out> out) {
-        Node of = nodes.get(node);
+        Node of = known(node);
         of.waitsSince = -1;
         if (notReady) {
             unwell(of);
@@ -196,9 +238,20 @@
         }
     }
 
-    /** A node answered that it hears, and whether it is ready. */
-    public void hereAnswered(String node, boolean ready) {
-        Node of = nodes.get(node);
+    /** A node that is off the list by now has its answers taken, and nothing else of it matters. */
+    private Node known(String node) {
+        return nodes.getOrDefault(node, new Node());
+    }
+
+    /** A node answered that it hears, whether it is ready, and by which version of the list of nodes it goes. */
+    public void hereAnswered(String node, boolean ready, long version, List<Out> out) {
+        long mine = given == null ? NodeList.settingsVersion(NodeList.epoch(version)) : given.version();
+        if (version > mine) {
+            out.add(new Fetch(node));
+        } else if (version < mine) {
+            out.add(new Give(node, given));
+        }
+        Node of = known(node);
         of.waitsSince = -1;
         if (ready && !of.well) {
             of.well = true;
@@ -210,7 +263,7 @@
 
     /** The connection to a node is lost. */
     public void lost(String node, long now, List<Out> out) {
-        Node of = nodes.get(node);
+        Node of = known(node);
         of.waitsSince = -1;
         unwell(of);
         for (Call call : List.copyOf(calls.values())) {
@@ -242,7 +295,7 @@
             if (now - node.hereAt >= times.here) {
                 node.hereAt = now;
                 node.waitsSince = node.waitsSince < 0 ? now : node.waitsSince;
-                out.add(new Here(id));
+                out.add(new Here(id, ++stamp));
             }
         });
         for (Call call : List.copyOf(calls.values())) {
@@ -280,6 +333,6 @@
 
     /** Whether a node is asked first for its names. */
     public boolean well(String node) {
-        return nodes.get(node).well;
+        return known(node).well;
     }
 }
--- a/src/main/java/fawndock/counter/replica/ReplicaNode.java
+++ b/src/main/java/fawndock/counter/replica/ReplicaNode.java
@@ -17,12 +17,12 @@
     /**
      * What nodes tell each other all the time.
      *
-     * @param epoch of the list of nodes that it goes by
+     * @param version of the list of nodes that it goes by
      * @param start of the node; another one than before tells that it has started again
      * @param ready whether it answers
-     * @param heardMillis for each gatekeeper how long ago it was last heard, by it or others
+     * @param stamps of each gatekeeper that was heard of late, by it or others, the highest stamp
      */
-    public record Beat(long epoch, long start, boolean ready, Map<Long, Long> heardMillis) {
+    public record Beat(long version, long start, boolean ready, Map<Long, Long> stamps) {
     }
 
     /**
@@ -49,7 +49,13 @@
     /** Changed sums that wait for a node; beyond it everything is told again. */
     private static final int MOST_CHANGED = 100_000;
     private static final int MOST_ORIGINS = 4_096;
-    private static final long ORIGIN_FORGOTTEN = 120_000;
+    /** Of silence after which a gatekeeper is no more told of, and much later forgotten, in milliseconds. */
+    private static final long ORIGIN_TOLD = 30_000;
+    private static final long ORIGIN_FORGOTTEN = 3_600_000;
+
+    /** The highest stamp of a gatekeeper, and when it was first heard here. */
+    private record Heard(long stamp, long at) {
+    }
 
     private record Part(String name, long origin) {
     }
@@ -61,6 +67,8 @@
         Long start;
         boolean ready;
         boolean gaveAll;
+        /** When it last answered that this node is not on its list. */
+        long strangeAt = Long.MIN_VALUE / 2;
         Set<Part> changed = new LinkedHashSet<>();
         /** Next shard of everything to be told, or -1 when that is done. */
         int shard;
@@ -70,49 +78,88 @@
 
     private final Sums sums;
     private final Times times;
-    private final long epoch;
+    private final String id;
     private final long start;
     private final Map<String, Other> others = new TreeMap<>();
-    private final Map<Long, Long> originHeardAt = new HashMap<>();
+    private final Map<Long, Heard> origins = new HashMap<>();
     private final Rates rates = new Rates();
     private final long startedAt;
     private long toldAt;
     private boolean ready;
-    private boolean fenced;
+    private long version;
+    private long highestHeard;
+    /** The list that was given while it ran, or null while it goes by the one in its settings. */
+    private NodeList given;
 
     /**
-     * A node that has just started.
+     * A node that has just started, by the list in its settings.
      *
-     * @param others the ids of the others on the list
+     * @param id its own name
+     * @param others the names of the others on the list
      * @param epoch of the list
      * @param start that no start of this node had before
      */
-    public ReplicaNode(List<String> others, long epoch, long start, Times times, Sums sums, long now) {
+    public ReplicaNode(String id, List<String> others, long epoch, long start, Times times, Sums sums, long now) {
+        this.id = id;
         this.sums = sums;
         this.times = times;
-        this.epoch = epoch;
         this.start = start;
         this.startedAt = now;
+        version = NodeList.settingsVersion(epoch);
         ready = others.isEmpty();
-        for (String each : others) {
-            Other other = new Other();
-            other.heardAt = now - times.missing - 1; // Not heard yet.
-            this.others.put(each, other);
+        others.forEach(each -> join(each, now));
+    }
+
+    private void join(String each, long now) {
+        Other other = new Other();
+        other.heardAt = now - times.missing - 1; // Not heard yet.
+        others.put(each, other);
+    }
+
+    /**
+     * Goes by a newer list of nodes; what it has counted stays. Those that are on it for the first time are told
+     * everything once they are heard.
+     *
+     * @return false when it has this list, or a newer one
+     */
+    public boolean adopt(NodeList list, long now) {
+        if (list.version() <= version) {
+            return false;
         }
+        version = list.version();
+        given = list;
+        others.keySet().retainAll(list.addresses().keySet());
+        for (String each : list.addresses().keySet()) {
+            if (!each.equals(id) && !others.containsKey(each)) {
+                join(each, now);
+            }
+        }
+        return true;
+    }
+
+    /** The list that was given while it ran, or null. */
+    public NodeList given() {
+        return given;
+    }
+
+    /** What to answer one that goes by an older list; null when there is nothing to tell. */
+    public NodeList newerThan(long theirs) {
+        return given != null && given.version() > theirs ? given : null;
     }
 
     /** Whether it may answer gatekeepers. */
     public boolean ready() {
-        return ready && !fenced;
+        return ready && !fenced();
     }
 
-    /** Whether it found that its list of nodes is out of date. */
+    /** Whether it was taken off the list, or its list is out of date: its totals may lack what others count. */
     public boolean fenced() {
-        return fenced;
+        return highestHeard > version || given != null && !given.addresses().containsKey(id);
     }
 
-    public long epoch() {
-        return epoch;
+    /** The version of the list that it goes by. */
+    public long version() {
+        return version;
     }
 
     /** The other nodes on the list. */
@@ -137,14 +184,13 @@
      * @throws CountException when this node may not answer, or cannot take the sums
      */
     public Amount ask(Sum sum, long now, Changes to) throws CountException {
-        if (fenced) {
+        if (fenced()) {
             throw new CountException("FENCED a newer list of nodes is in use, nothing was added");
         }
         if (!ready) {
             throw new CountException("LOADING this node has not caught up with the others, nothing was added");
         }
         take(sum, "", now, to);
-        here(sum.origin(), now);
         rates.seen(sum.name(), now);
         return withUnheard(sum.name(), now);
     }
@@ -173,10 +219,16 @@
         });
     }
 
-    /** A gatekeeper shows that it is there. */
-    public void here(long origin, long now) {
-        if (originHeardAt.size() < MOST_ORIGINS || originHeardAt.containsKey(origin)) {
-            originHeardAt.merge(origin, now, Math::max);
+    /**
+     * A gatekeeper shows that it is there, or another node tells that it did. Only a stamp that was not heard before counts:
+     * guards against two nodes that tell each other of one that neither hears, each time a little later.
+     *
+     * @param stamp of the gatekeeper's own, that grows each time
+     */
+    public void here(long origin, long stamp, long now) {
+        Heard last = origins.get(origin);
+        if (last == null ? origins.size() < MOST_ORIGINS : stamp > last.stamp) {
+            origins.put(origin, new Heard(stamp, now));
         }
     }
 
@@ -187,9 +239,9 @@
             return total; // A gatekeeper that no node hears counts nowhere.
         }
         double unheard = 0;
-        for (Map.Entry<Long, Long> each : originHeardAt.entrySet()) {
-            if (now - each.getValue() > times.missing) {
-                unheard += rates.unheard(name, each.getKey(), each.getValue(), now);
+        for (Map.Entry<Long, Heard> each : origins.entrySet()) {
+            if (now - each.getValue().at > times.missing) {
+                unheard += rates.unheard(name, each.getKey(), each.getValue().at, now);
             }
         }
         return unheard <= 0 ? total : total.plus(Amount.of(Long.toString(Math.round(unheard)).getBytes(
@@ -198,19 +250,21 @@
 
     /** What to tell the others of, again and again. */
     public Beat beat(long now) {
-        Map<Long, Long> ago = new HashMap<>();
-        originHeardAt.values().removeIf(at -> now - at > ORIGIN_FORGOTTEN);
-        originHeardAt.forEach((origin, at) -> ago.put(origin, now - at));
-        return new Beat(epoch, start, ready(), ago);
+        Map<Long, Long> stamps = new HashMap<>();
+        origins.values().removeIf(heard -> now - heard.at > ORIGIN_FORGOTTEN);
+        origins.forEach((origin, heard) -> {
+            if (now - heard.at <= ORIGIN_TOLD) {
+                stamps.put(origin, heard.stamp);
+            }
+        });
+        return new Beat(version, start, ready(), stamps);
     }
 
     /** Another node's beat. */
     public void beat(String from, Beat beat, long now) {
         Other other = others.get(from);
-        if (beat.epoch > epoch) {
-            fenced = true; // It was taken off the list, or has an old one: its totals may lack what others count.
-        }
-        if (other == null || beat.epoch < epoch) {
+        highestHeard = Math.max(highestHeard, beat.version);
+        if (other == null || beat.version < version) {
             return;
         }
         boolean was = now - other.heardAt <= times.missing;
@@ -223,7 +277,12 @@
         other.heardAt = now;
         other.ready = beat.ready;
         catchUp(now);
-        beat.heardMillis.forEach((origin, ago) -> here(origin, now - ago));
+        beat.stamps.forEach((origin, stamp) -> here(origin, stamp, now));
+    }
+
+    /** Another node answers that this one is not on its list. */
+    public void strange(String from, long now) {
+        others.get(from).strangeAt = now;
     }
 
     /** Another node has told everything that it had when it began to. */
@@ -258,7 +317,10 @@
             }
         });
         catchUp(now);
-        if (ready) {
+        // Guards against a node that begins with nothing beside others that do not know of it yet: it waits for a list of
+        // nodes with both.
+        boolean strange = others.values().stream().anyMatch(o -> now - o.strangeAt <= times.alone);
+        if (ready || strange) {
             return;
         }
         boolean any = others.values().stream().anyMatch(o -> o.ready && now - o.heardAt <= times.missing);
--- a/src/main/java/fawndock/drill/CounterFleet.java
+++ b/src/main/java/fawndock/drill/CounterFleet.java
@@ -20,10 +20,13 @@
     private final List<CounterProcess> nodes = new ArrayList<>();
     private final Map<String, Relay> relays = new LinkedHashMap<>();
     private final int gatekeepers;
+    private final Path folder;
+    private final List<CounterProcess> replaced = new ArrayList<>();
     private boolean closed;
 
     CounterFleet(Vertx vertx, Path folder, int count, int gatekeepers) throws IOException, InterruptedException {
         this.gatekeepers = gatekeepers;
+        this.folder = folder;
         List<Integer> ports = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             ports.add(Gatekeepers.freePort());
@@ -71,6 +74,32 @@
         return text.toString();
     }
 
+    /** Starts an empty node under a new name, and gives the first the list with it in the place of the last. */
+    void replaceLast() throws IOException, InterruptedException {
+        int last = nodes.size() - 1;
+        CounterProcess old = nodes.get(last);
+        String name = "n" + (last + 1);
+        StringBuilder text = new StringBuilder("fleet " + name + " missing 150ms alone 500ms\nlog text level info\n");
+        StringBuilder list = new StringBuilder();
+        for (int i = 0; i < last; i++) {
+            String address = "127.0.0.1:" + nodes.get(i).port();
+            text.append("fellow n").append(i).append(' ').append(address).append('\n');
+            list.append("n").append(i).append('=').append(address).append(' ');
+        }
+        CounterProcess made = new CounterProcess(Files.createDirectories(folder.resolve("node-" + (last + 1))),
+                Gatekeepers.freePort(), text.toString(), JVM);
+        nodes.set(last, made);
+        replaced.add(old);
+        made.start().thenRun(() -> {
+            try (CounterCaller caller = new CounterCaller(nodes.get(0).port())) {
+                caller.call(("FD.NODES 2 " + list + name + "=127.0.0.1:" + made.port()).split(" "));
+                old.kill();
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException("the new list could not be given: " + e.getMessage(), e);
+            }
+        });
+    }
+
     int size() {
         return nodes.size();
     }
@@ -167,6 +196,7 @@
             return;
         }
         closed = true;
+        replaced.forEach(CounterProcess::close);
         nodes.forEach(CounterProcess::close);
         relays.values().forEach(Relay::stop);
     }
--- a/src/main/java/fawndock/drill/CounterSplit.java
+++ b/src/main/java/fawndock/drill/CounterSplit.java
@@ -12,6 +12,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 /**
  * Counter nodes that die, stall, are split and come back, under agencies that ask one and a half times their allowance and
@@ -20,12 +23,17 @@
 public final class CounterSplit {
     private static final int GATEKEEPERS = 4;
     private static final double RATE = 60;
-    /** Four of the counts' windows: what was counted before the first break has gone by then. */
-    private static final double WARM = 8;
+    /** Three of the counts' windows and more: what was counted before the first break has gone by then. */
+    private static final double WARM = 7;
+    /** Before long breaks: the counter's rates and the workers' caches are even by then. */
+    private static final double LONG_WARM = 30;
+    private static final double LONG = 5;
     /** The claim of docs/design/counter-replication.md: turning, delay between nodes, two calls, at 1.5 times. */
     private static final double CLAIMED = 1.5 * (0.055 + 0.04 + 2 * 0.05) / 60;
-    /** Of the demand, by which the estimate of the half that is not heard may be wrong. */
-    private static final double SPLIT_ERROR = 0.25;
+    /** Seconds over which the nodes take the rates that they estimate an unheard half by. */
+    private static final double RATES_OVER = 8;
+    /** Of the allowance, by which the sum of both halves' estimates may be low by chance: two standard deviations. */
+    private static final double BY_CHANCE = 2 / Math.sqrt(2 * RATE * RATES_OVER);
     /** Seconds until nodes that start empty answer, and gatekeepers ask about every request again. */
     private static final double BACK = 3;
     private static final String COMMON = """
@@ -40,7 +48,11 @@
             log text level info
             """;
 
-    private record Break(String name, double at, double claimed) {
+    /**
+     * @param claimed of a minute's allowance, but for what the estimate errs by
+     * @param split seconds for which halves count without each other
+     */
+    private record Break(String name, double at, double claimed, double split) {
     }
 
     private final int count;
@@ -113,11 +125,10 @@
 
     private Script script() {
         Script script = new Script();
-        double at = WARM;
+        double at = length < LONG ? WARM : LONG_WARM;
         at = add(script, at, "a node dies", CLAIMED, () -> fleet.node(0).kill(), () -> fleet.node(0).start());
         at = add(script, at, "a node stalls", CLAIMED, () -> fleet.stall(last(), true), () -> fleet.stall(last(), false));
-        at = add(script, at, "split in halves", CLAIMED + SPLIT_ERROR * length / 60, () -> fleet.split(0, true),
-                () -> fleet.split(0, false));
+        at = add(script, at, "split in halves", CLAIMED, () -> fleet.split(0, true), () -> fleet.split(0, false));
         if (count > 1) {
             at = add(script, at, "one-way loss", CLAIMED, () -> fleet.oneWay(0, 1, true),
                     () -> fleet.oneWay(0, 1, false));
@@ -126,14 +137,14 @@
                 fleet.node(2).start();
             });
         }
-        at = add(script, at, "rolling upgrade", CLAIMED * count, () -> roll(0), () -> { });
+        at = add(script, at, "rolling upgrade", CLAIMED * count, this::roll, () -> { }) + length; // It takes longer.
         at = add(script, at, "a clock 2 s off", CLAIMED, () -> {
             fleet.node(last()).kill();
             fleet.node(last()).option("-Dfawndock.counter.clock-offset-ms=2000");
             fleet.node(last()).start();
         }, () -> { });
         if (count > 1) {
-            at = add(script, at, "split, and a node of the half dies", CLAIMED + SPLIT_ERROR * length / 60, () -> {
+            at = add(script, at, "split, and a node of the half dies", CLAIMED, () -> {
                 fleet.split(0, true);
                 fleet.node(1).kill();
             }, () -> {
@@ -141,6 +152,10 @@
                 fleet.node(1).start();
             });
         }
+        if (count > 1) {
+            // Links to its nodes are direct from then on.
+            at = add(script, at, "a new node by a new list", CLAIMED, () -> fleet.replaceLast(), () -> { });
+        }
         // Last, since gatekeepers take some time to ask about every request again after a counter that was gone.
         add(script, at, "all lost, back empty", 0.5 * (length + BACK) / 60 + CLAIMED, this::killAll, () -> {
             for (int i = 0; i < count; i++) {
@@ -161,18 +176,27 @@
         }
     }
 
-    /** Stops and starts one after the other, each when the one before listens again. */
-    private void roll(int i) throws Exception {
-        if (i < count) {
-            fleet.node(i).stop();
-            fleet.node(i).start().thenRun(() -> {
-                try {
-                    roll(i + 1);
-                } catch (Exception e) {
-                    out.println("  a node of the upgrade did not start: " + e.getMessage());
+    /** Stops and starts one after the other, each when all know what is told to the one before. */
+    private void roll() {
+        Thread upgrade = new Thread(() -> {
+            try {
+                for (int i = 0; i < count; i++) {
+                    fleet.node(i).stop();
+                    fleet.node(i).start().get(Child.START_SECONDS, TimeUnit.SECONDS);
+                    long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(Child.START_SECONDS);
+                    while (!fleet.agrees(System.nanoTime()) && System.nanoTime() < limit) {
+                        Thread.sleep(20);
+                    }
                 }
-            });
-        }
+                out.println("        the upgrade is done");
+            } catch (IOException | ExecutionException | TimeoutException e) {
+                out.println("        a node of the upgrade did not start: " + e.getMessage());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "upgrade");
+        upgrade.setDaemon(true);
+        upgrade.start();
     }
 
     private double add(Script script, double at, String name, double claimed, Script.Happening begin,
@@ -180,7 +204,7 @@
         if (!name.contains(only)) {
             return at;
         }
-        breaks.add(new Break(name, at, claimed));
+        breaks.add(new Break(name, at, claimed, name.contains("split") ? length : 0));
         script.at(at, name, begin);
         script.at(at + length, "end: " + name, () -> {
             end.happen();
@@ -240,7 +264,10 @@
             long under = refused.entrySet().stream().filter(e -> e.getKey().startsWith("under"))
                     .flatMap(e -> e.getValue().stream()).filter(t -> t >= each.at && t < each.at + 2 * length).count();
             Long took = recovered.get(each.name);
-            out.printf("%-36s %7.1f%% %9.1f%% %9.1f%% %8d %14s%n", each.name, 100 * each.claimed, 100 * byMinute,
+            // Each half lets in what the other did not use before; more than is asked for it cannot.
+            double unused = Math.min(0.5, -under(used, each.at - RATES_OVER, each.at));
+            double claimed = each.claimed + each.split / 60 * (Math.max(0, unused) + BY_CHANCE);
+            out.printf("%-36s %7.1f%% %9.1f%% %9.1f%% %8d %14s%n", each.name, 100 * claimed, 100 * byMinute,
                     100 * from, under, took == null ? "not seen" : took + " ms");
         }
         lastLine = String.format("worst overshoot %.1f%% of allowance over a minute, %d breaks", 100 * worst,
@@ -248,6 +275,12 @@
         return worst <= 0.05;
     }
 
+    /** By how much the least of the customers that ask for more used more than its allowance between two times. */
+    private static double under(Map<String, List<Double>> used, double from, double to) {
+        return used.entrySet().stream().filter(e -> e.getKey().startsWith("over")).mapToDouble(e -> e.getValue().stream()
+                .filter(t -> t >= from && t < to).count() / (RATE * (to - from)) - 1).min().orElse(-1);
+    }
+
     /** The most by which any customer was over its allowance in a span, between two times. */
     static double over(Map<String, List<Double>> used, double from, double to, double span) {
         double worst = -1;
--- a/src/test/java/fawndock/BordersTest.java
+++ b/src/test/java/fawndock/BordersTest.java
@@ -45,6 +45,15 @@
     static final ArchRule COUNTER_CORE_HAS_NO_CLOCK = noClasses().that().resideInAPackage("fawndock.counter.core..")
             .should().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis");
 
+    @ArchTest
+    static final ArchRule COUNTER_REPLICA_IS_PURE = classes().that().resideInAPackage("fawndock.counter.replica..")
+            .should().onlyDependOnClassesThat(DescribedPredicate.describe("do no I/O, keep no time and start no thread", c ->
+                    c.getPackageName().matches("fawndock\\.counter\\.(core|replica)|java\\.util(\\.(function|regex|stream))?"
+                            + "|java\\.nio(\\.charset)?|java\\.lang\\.(runtime|invoke)")
+                            || c.getPackageName().equals("java.lang") && !c.getSimpleName().matches(
+                                    "Thread|Process|ProcessBuilder|Runtime|System")
+                            || c.isPrimitive() || c.isArray()));
+
     @ArchTest
     static final ArchRule COUNTER_KNOWS_NO_GATEKEEPER = noClasses().that().resideInAPackage("fawndock.counter..")
             .should().dependOnClassesThat().resideInAnyPackage("fawndock", "fawndock.gateway..");
--- a/src/test/java/fawndock/counter/FleetTest.java
+++ b/src/test/java/fawndock/counter/FleetTest.java
@@ -88,7 +88,7 @@
             try {
                 told = call(node, words);
             } catch (JedisDataException e) {
-                assertTrue(e.getMessage().startsWith("LOADING"), e.getMessage());
+                assertTrue(e.getMessage().matches("(LOADING|FENCED).*"), e.getMessage()); // Until it has the list, too.
             }
         }
     }
@@ -139,4 +139,29 @@
         }
         until(2, "1", "FD.SUM", "a.1", "7", "1", "0", "60000");
     }
+
+    @Test
+    void aListGivenToOneNodeReachesAllAndFencesTheOneThatIsOff() throws IOException {
+        until(0, "1", "FD.SUM", "a.1", "7", "1", "0", "60000");
+        try (ServerSocket free = new ServerSocket(0)) {
+            ports.add(free.getLocalPort());
+        }
+        start(3, 1);
+        String list = "2 n0=127.0.0.1:" + ports.get(0) + " n1=127.0.0.1:" + ports.get(1) + " n3=127.0.0.1:" + ports.get(3);
+        String[] words = ("FD.NODES " + list).split(" ");
+        assertThrows(JedisDataException.class, () -> call(0, "FD.NODES", "2", "n0=nowhere"));
+        assertThrows(JedisDataException.class, () -> call(3, "FD.SUM", "a.1", "8", "1", "0", "60000"),
+                "it is not on the others' list yet");
+        assertEquals(list, call(0, words));
+        until(3, "2", "FD.SUM", "a.1", "8", "1", "0", "60000"); // Its first answer has what the others had.
+        for (int node : List.of(1, 2, 3)) {
+            until(node, list, "FD.NODES");
+        }
+        assertTrue(assertThrows(JedisDataException.class, () -> call(2, "FD.SUM", "a.1", "7", "1", "0", "60000"))
+                .getMessage().startsWith("FENCED"));
+        stop(2);
+        start(2, 1); // By the list in its settings, on which it is.
+        until(2, list, "FD.NODES");
+        assertEquals(list, call(0, ("FD.NODES 1 n0=127.0.0.1:" + ports.get(0)).split(" ")), "an older list changes nothing");
+    }
 }
--- a/src/test/java/fawndock/counter/replica/Fleet.java
+++ b/src/test/java/fawndock/counter/replica/Fleet.java
@@ -51,9 +51,9 @@
             if (empty) {
                 table = new CountTable(1, 2);
             }
-            List<String> others = new ArrayList<>(nodes.keySet());
+            List<String> others = new ArrayList<>(settings);
             others.remove(id);
-            node = new ReplicaNode(others, 1, random.nextLong(), NODE_TIMES, new Sums(new Counts(table, Long.MAX_VALUE)), clock());
+            node = new ReplicaNode(id, others, 1, random.nextLong(), NODE_TIMES, new Sums(new Counts(table, Long.MAX_VALUE)), clock());
             tick(++life);
         }
 
@@ -72,23 +72,40 @@
             }
             if (!stalled) {
                 node.tick(clock());
-                for (String other : nodes.keySet()) {
-                    if (!other.equals(id)) {
-                        ReplicaNode.Beat beat = node.beat(clock());
-                        send(id, other, () -> at(other, n -> n.node.beat(id, beat, n.clock())));
-                        give(other, mine);
-                    }
+                for (String other : List.copyOf(node.others())) {
+                    ReplicaNode.Beat beat = node.beat(clock());
+                    send(id, other, () -> at(other, n -> beaten(n, beat, mine)));
+                    give(other, mine);
                 }
             }
             after(20, () -> tick(mine));
         }
 
+        /** Another node has this one's beat: it goes by it, or answers that this one's list is old or lacks it. */
+        private void beaten(Node n, ReplicaNode.Beat beat, int mine) {
+            NodeList newer = n.node.newerThan(beat.version());
+            boolean strange = newer == null && beat.version() <= n.node.version() && !n.node.others().contains(id);
+            n.node.beat(id, beat, n.clock());
+            if (newer != null || strange) {
+                send(n.id, id, () -> at(id, me -> {
+                    if (newer != null) {
+                        me.node.adopt(newer, me.clock());
+                    } else if (me.life == mine && me.node.others().contains(n.id)) {
+                        me.node.strange(n.id, me.clock());
+                    }
+                }));
+            }
+        }
+
         private void give(String other, int mine) {
             ReplicaNode.Batch batch = node.next(other, 50, clock());
             if (batch.isEmpty()) {
                 return;
             }
             send(id, other, () -> at(other, n -> {
+                if (!n.node.others().contains(id)) {
+                    return;
+                }
                 try {
                     for (Sum each : batch.sums()) {
                         n.node.told(id, each, n.clock(), new Changes(64));
@@ -100,7 +117,7 @@
                     n.node.gaveAll(id, n.clock());
                 }
                 send(other, id, () -> at(id, me -> {
-                    if (me.life == mine) {
+                    if (me.life == mine && me.node.others().contains(other)) {
                         me.node.arrived(other);
                     }
                 }));
@@ -123,7 +140,7 @@
 
         Gate(String id, long origin) {
             this.id = id;
-            client = new ReplicaClient(origin, new ArrayList<>(nodes.keySet()), CLIENT_TIMES);
+            client = new ReplicaClient(origin, settings, CLIENT_TIMES);
         }
 
         void start() {
@@ -187,10 +204,26 @@
                 } else if (each instanceof Here here) {
                     long origin = origin();
                     send(id, here.node(), () -> at(here.node(), n -> {
-                        n.node.here(origin, n.clock());
+                        n.node.here(origin, here.stamp(), n.clock());
                         boolean ready = n.node.ready();
-                        send(n.id, id, () -> client.hereAnswered(n.id, ready));
+                        long version = n.node.version();
+                        send(n.id, id, () -> {
+                            List<Out> more = new ArrayList<>();
+                            client.hereAnswered(n.id, ready, version, more);
+                            carry(more);
+                        });
+                    }));
+                } else if (each instanceof ReplicaClient.Fetch fetch) {
+                    send(id, fetch.node(), () -> at(fetch.node(), n -> {
+                        NodeList list = n.node.given();
+                        send(n.id, id, () -> {
+                            List<Out> more = new ArrayList<>();
+                            client.adopt(list, now, more);
+                            carry(more);
+                        });
                     }));
+                } else if (each instanceof ReplicaClient.Give give) {
+                    send(id, give.node(), () -> at(give.node(), n -> n.node.adopt(give.list(), n.clock())));
                 } else if (each instanceof End end) {
                     int amount = pending.remove(end.call());
                     if (end.result() == ReplicaClient.Result.OK) {
@@ -221,7 +254,12 @@
     }
 
     final SplittableRandom random;
+    /** All nodes that there ever were. */
     final Map<String, Node> nodes = new TreeMap<>();
+    /** The list in everyone's settings. */
+    final List<String> settings = new ArrayList<>();
+    /** The list that holds now. */
+    List<String> list = settings;
     final List<Gate> gates = new ArrayList<>();
     final Map<String, Double> demand = new TreeMap<>();
     final Map<String, Long> asked = new HashMap<>();
@@ -244,6 +282,7 @@
         demand.put("under", 0.5 * rate);
         for (int i = 0; i < NODES; i++) {
             nodes.put("n" + i, new Node("n" + i));
+            settings.add("n" + i);
         }
         nodes.values().forEach(n -> n.start(true));
         for (int i = 0; i < GATEKEEPERS; i++) {
@@ -252,6 +291,29 @@
         gates.forEach(Gate::start);
     }
 
+    /** Starts a new node in the place of another, and gives one of those that stay the list with it. */
+    void replace(String gone, String told, long untilGone) {
+        Node made = new Node("n" + nodes.size());
+        nodes.put(made.id, made);
+        made.start(true);
+        list = new ArrayList<>(list);
+        list.remove(gone);
+        list.add(made.id);
+        Map<String, String> addresses = new TreeMap<>();
+        list.forEach(id -> addresses.put(id, id + ":1"));
+        after(400, () -> give(told, new NodeList(2, addresses)));
+        after(400 + untilGone, nodes.get(gone)::die);
+    }
+
+    /** An operator gives a list, again until the node is there. */
+    private void give(String to, NodeList given) {
+        if (nodes.get(to).node == null) {
+            after(50, () -> give(to, given));
+        } else {
+            nodes.get(to).node.adopt(given, nodes.get(to).clock());
+        }
+    }
+
     void after(long millis, Runnable what) {
         events.add(new Event(now + millis, number++, what));
     }
@@ -305,6 +367,11 @@
         }
     }
 
+    /** What was admitted of late, as a share of what the limit allows in that time. */
+    double rate(String customer, long span) {
+        return admitted.get(customer).stream().filter(at -> at >= now - span).count() / (LIMIT * (double) span / WINDOW);
+    }
+
     /** The most that was admitted over any such span, as a share of what the limit allows in it. */
     double most(String customer, long span) {
         List<Long> at = admitted.getOrDefault(customer, List.of());
--- a/src/test/java/fawndock/counter/replica/ReplicaTest.java
+++ b/src/test/java/fawndock/counter/replica/ReplicaTest.java
@@ -16,19 +16,23 @@
 class ReplicaTest {
     private static final long SPAN = 3 * Fleet.WINDOW;
     /** What the weighted estimate over two windows lets through at this demand with no break at all, seeds 1 to 200. */
-    private static final double CALM = 1.15;
+    private static final double CALM = 1.12;
     /**
      * The claim of docs/design/counter-replication.md for these times, as a share of what a span allows: demand over the
-     * limit, until gatekeepers turn, delay between nodes, two calls; and the error of the estimate in splits that
-     * take up to two thirds of the span, at these small counts.
+     * limit, until gatekeepers turn, delay between nodes, two calls; for each break.
      */
-    private static final double CLAIMED = 1.5 * (0.110 + 0.030 + 2 * 0.010) / (SPAN / 1e3) + 0.15;
+    private static final double CLAIMED = 1.5 * (0.110 + 0.030 + 2 * 0.010) / (SPAN / 1e3);
+    /** Of the time of a split, by which the estimate of the unheard half may be low: two deviations of 60 a second. */
+    private static double errs(double rateSeconds) {
+        return 2 / Math.sqrt(2 * Fleet.LIMIT * rateSeconds);
+    }
 
     /** One or two breaks at random, which may overlap, then mended, then what must hold. */
     private static final class Schedule {
         final Fleet fleet;
         final SplittableRandom random;
         final long seed;
+        long splitMillis;
         final List<String> wrong = new ArrayList<>();
         final List<String> breaks = new ArrayList<>();
 
@@ -53,8 +57,9 @@
                 judge(customer + "." + number);
             }
             double most = fleet.most("over", SPAN);
-            if (most > CALM + CLAIMED) {
-                wrong.add("over the limit: " + most);
+            double claimed = breaks.size() * CLAIMED + errs(1.5) * splitMillis / SPAN;
+            if (most > CALM + claimed) {
+                wrong.add("over the limit: " + most + ", claimed " + (CALM + claimed));
             }
             return wrong;
         }
@@ -63,8 +68,9 @@
             String id = "n" + random.nextInt(Fleet.NODES);
             Fleet.Node node = fleet.nodes.get(id);
             long length = 100 + random.nextInt(2_000);
-            int kind = random.nextInt(7);
-            breaks.add("dies,stalls,split,one way,empty,clock,slow".split(",")[kind] + " " + id + " for " + length);
+            int kind = random.nextInt(8);
+            breaks.add("dies,stalls,split,one way,empty,clock,slow,list".split(",")[kind] + " " + id + " for " + length);
+            splitMillis += kind == 2 ? length : 0;
             switch (kind) {
                 case 0 -> {
                     node.die();
@@ -94,16 +100,23 @@
                     fleet.after(Math.min(length, 300), () -> node.start(true));
                 }
                 case 5 -> node.skew += random.nextBoolean() ? 2_000 : -500;
-                default -> {
+                case 6 -> {
                     fleet.slowest = 30;
                     fleet.after(length, () -> fleet.slowest = 4);
                 }
+                default -> {
+                    if (fleet.list == fleet.settings) {
+                        fleet.replace(id, "n" + (Integer.parseInt(id.substring(1)) + 1) % Fleet.NODES,
+                                length / 20);
+                    }
+                }
             }
         }
 
         /** When all is mended and quiet, every node has the same sums, and what was acknowledged is in them. */
         private void judge(String name) {
-            for (Fleet.Node node : fleet.nodes.values()) {
+            Fleet.Node first = fleet.nodes.get(fleet.list.get(0));
+            for (Fleet.Node node : fleet.list.stream().map(fleet.nodes::get).toList()) {
                 if (!node.node.ready()) {
                     wrong.add(node.id + " does not answer after all was mended");
                 }
@@ -112,8 +125,8 @@
                 for (Fleet.Gate gate : fleet.gates) {
                     int[] told = gate.acknowledged.getOrDefault(name, new int[2]);
                     Sum has = sums.of(name, gate.origin(), node.clock());
-                    Sum other = new Sums(new Counts(fleet.nodes.get("n0").table, Long.MAX_VALUE)).of(name, gate.origin(),
-                            fleet.nodes.get("n0").clock());
+                    Sum other = new Sums(new Counts(first.table, Long.MAX_VALUE)).of(name, gate.origin(),
+                            first.clock());
                     long plus = has == null ? 0 : has.plus().digits();
                     long minus = has == null ? 0 : has.minus().digits();
                     all += plus - minus;
@@ -123,7 +136,7 @@
                     }
                     if (has != null && other != null && (!has.plus().equals(other.plus())
                             || !has.minus().equals(other.minus()))) {
-                        wrong.add(node.id + " and n0 do not agree on " + name + " of " + gate.id);
+                        wrong.add(node.id + " and " + first.id + " do not agree on " + name + " of " + gate.id);
                     }
                 }
                 if (sums.total(name, node.clock()).digits() != all) {
@@ -144,6 +157,20 @@
         assertTrue(most <= CALM, "calm " + most);
     }
 
+    /** Two nodes of one half that tell each other of gatekeepers which neither hears must not take them for heard. */
+    @Test
+    void aSplitOfAMinute() {
+        double most = IntStream.range(0, 20).parallel().mapToDouble(seed -> {
+            Fleet fleet = new Fleet(seed);
+            fleet.run(20_000);
+            double before = fleet.rate("over", 8_000);
+            fleet.cut(List.of("n0", "g0", "g1"), List.of("n1", "n2", "g2", "g3"), true, true);
+            fleet.run(60_000);
+            return fleet.rate("over", 60_000) - before;
+        }).max().orElseThrow();
+        assertTrue(most <= errs(8), "beyond what was let through before, of the limit: " + most);
+    }
+
     @Test
     @Timeout(value = 5, unit = TimeUnit.MINUTES)
     void tenThousandSchedulesOfBreaks() {
--- a/src/test/java/fawndock/gateway/CounterLinkTest.java
+++ b/src/test/java/fawndock/gateway/CounterLinkTest.java
@@ -20,6 +20,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -36,7 +37,7 @@
     private CounterStandIn counter;
     private CounterLink link;
     private int port;
-    private java.util.Map<String, Address> nodes = java.util.Map.of();
+    private Map<String, Address> nodes = Map.of();
 
     @BeforeEach
     void start() throws Exception {
@@ -88,9 +89,7 @@
     @Test
     void theProjectsOwnCounterIsAskedInOneCall(@TempDir Path directory) throws Exception {
         try (FileDisk disk = new FileDisk(directory, true)) {
-            CounterServer own = new CounterServer(new CounterSettings(new Address("127.0.0.1", 0), directory,
-                    GroupCommit.Durability.ALWAYS, 1_000, 1 << 20, "", 10, 1 << 20, 10_000, new DaemonSettings.Log(false,
-                    "warn"), new CounterSettings.Fleet("", 1, 150, 2_000, java.util.Map.of())), disk);
+            CounterServer own = own(disk, directory, new CounterSettings.Fleet("", 1, 150, 2_000, Map.of()));
             port = own.start(bytes -> { });
             connect(20_000_000, 4_096);
             count("n", 1, 0.1, -0.1);
@@ -112,11 +111,8 @@
     void silentNodesAreStoodInFor(@TempDir Path directory) throws Exception {
         try (FileDisk disk = new FileDisk(directory, true); ServerSocket one = new ServerSocket(0);
              ServerSocket two = new ServerSocket(0)) {
-            CounterServer own = new CounterServer(new CounterSettings(new Address("127.0.0.1", 0), directory,
-                    GroupCommit.Durability.ALWAYS, 1_000, 1 << 20, "", 10, 1 << 20, 10_000,
-                    new DaemonSettings.Log(false, "warn"), new CounterSettings.Fleet("", 1, 150, 2_000,
-                    java.util.Map.of())), disk);
-            nodes = java.util.Map.of("n0", new Address("127.0.0.1", one.getLocalPort()), "n1",
+            CounterServer own = own(disk, directory, new CounterSettings.Fleet("", 1, 150, 2_000, Map.of()));
+            nodes = Map.of("n0", new Address("127.0.0.1", one.getLocalPort()), "n1",
                     new Address("127.0.0.1", own.start(bytes -> { })), "n2",
                     new Address("127.0.0.1", two.getLocalPort()));
             try {
@@ -133,6 +129,43 @@
         }
     }
 
+    /** A gateway learns of a new list from a node that is off it, and puts its own part back where it goes. */
+    @Test
+    void aNewListOfNodesIsTaken(@TempDir Path directory) throws Exception {
+        try (FileDisk old = new FileDisk(directory.resolve("old"), true);
+             FileDisk fresh = new FileDisk(directory.resolve("fresh"), true)) {
+            CounterServer off = own(old, directory.resolve("old"), new CounterSettings.Fleet("n0", 1, 150, 200, Map.of()));
+            int offPort = off.start(bytes -> { });
+            CounterServer on = own(fresh, directory.resolve("fresh"), new CounterSettings.Fleet("n1", 1, 150, 200,
+                    Map.of("n0", new Address("127.0.0.1", offPort))));
+            int onPort = on.start(bytes -> { });
+            nodes = Map.of("n0", new Address("127.0.0.1", offPort));
+            try (Jedis operator = new Jedis("127.0.0.1", offPort)) {
+                connect(3_000_000, 4_096);
+                count("a.1", 5);
+                assertEquals(5, next().total());
+                operator.sendCommand(() -> "FD.NODES".getBytes(), "2", "n1=127.0.0.1:" + onPort);
+                Counted counted;
+                do {
+                    count("a.1", 0);
+                    counted = next();
+                } while (counted.result() != Result.OK); // The old one answers no more.
+                assertEquals(5, counted.total());
+                off.stop();
+                count("a.1", 1);
+                assertEquals(6, next().total());
+            } finally {
+                on.stop();
+            }
+        }
+    }
+
+    private static CounterServer own(FileDisk disk, Path directory, CounterSettings.Fleet fleet) {
+        return new CounterServer(new CounterSettings(new Address("127.0.0.1", 0), directory,
+                GroupCommit.Durability.ALWAYS, 1_000, 1 << 20, "", 10, 1 << 20, 10_000,
+                new DaemonSettings.Log(false, "warn"), fleet), disk);
+    }
+
     private static long commands(Jedis asked) {
         return Long.parseLong(asked.info("stats").replaceAll("(?s).*processed:([0-9]+).*", "$1"));
     }
