--- a/src/main/java/fawndock/cli/DrillCommand.java
+++ b/src/main/java/fawndock/cli/DrillCommand.java
@@ -58,17 +58,19 @@
     static final class ChaosDrill implements Callable<Integer> {
         @picocli.CommandLine.Option(names = "--seconds", defaultValue = "60", description = "from 10 to 900")
         private int seconds;
+        @picocli.CommandLine.Option(names = "--nodes", defaultValue = "1", description = "counter nodes, 1 or 3")
+        private int nodes;
         @picocli.CommandLine.Option(names = "--seed", defaultValue = "1", description = "of the troubles")
         private long seed;
 
         @Override
         public Integer call() throws Exception {
-            if (seconds < 10 || seconds > 900) {
-                System.err.println("--seconds is from 10 to 900");
+            if (seconds < 10 || seconds > 900 || nodes != 1 && nodes != 3) {
+                System.err.println("--seconds is from 10 to 900, --nodes is 1 or 3");
                 return 2;
             }
             Logs.quiet();
-            return new Chaos(seconds, seed, System.out).run() ? 0 : 1;
+            return new Chaos(seconds, nodes, seed, System.out).run() ? 0 : 1;
         }
     }
 
--- a/src/main/java/fawndock/settings/Args.java
+++ b/src/main/java/fawndock/settings/Args.java
@@ -8,7 +8,7 @@
 import java.util.OptionalLong;
 
 /** The arguments of one line: some by place, then pairs of a name and a value. Notes every mistake it meets. */
-final class Args {
+public final class Args {
     private final Line line;
     private final List<Mistake> mistakes;
     private final List<String> placed = new ArrayList<>();
@@ -36,24 +36,24 @@
     }
 
     /** Whether this line's arguments are all there and nothing was found wrong with them so far. */
-    boolean good() {
+    public boolean good() {
         return mistakes.size() == before;
     }
 
-    void wrong(String wrong, String expected) {
+    public void wrong(String wrong, String expected) {
         mistakes.add(new Mistake(line.file(), line.number(), wrong, expected));
     }
 
-    String place(int i) {
+    public String place(int i) {
         return i < placed.size() ? placed.get(i) : "";
     }
 
-    long time(String name, long least, long most, long otherwise) {
+    public long time(String name, long least, long most, long otherwise) {
         String text = named.remove(name);
         return text == null ? otherwise : timeOf(name, text, least, most, otherwise);
     }
 
-    long timeOf(String name, String text, long least, long most, long otherwise) {
+    public long timeOf(String name, String text, long least, long most, long otherwise) {
         OptionalLong micros = Units.time(text);
         if (micros.isEmpty() || micros.getAsLong() < least || micros.getAsLong() > most) {
             wrong(name + " '" + text + "' is not a time in range", "a number and us, ms, s, m or h, from " + least
@@ -63,7 +63,7 @@
         return micros.getAsLong();
     }
 
-    long sizeOf(String name, String text, long most) {
+    public long sizeOf(String name, String text, long most) {
         OptionalLong bytes = Units.size(text);
         if (bytes.isEmpty() || bytes.getAsLong() > most) {
             wrong(name + " '" + text + "' is not a size in range", "bytes, or a number and KiB or MiB, at most "
@@ -73,12 +73,12 @@
         return bytes.getAsLong();
     }
 
-    double number(String name, double least, double most, double otherwise) {
+    public double number(String name, double least, double most, double otherwise) {
         String text = named.remove(name);
         return text == null ? otherwise : numberOf(name, text, least, most, otherwise);
     }
 
-    double numberOf(String name, String text, double least, double most, double otherwise) {
+    public double numberOf(String name, String text, double least, double most, double otherwise) {
         try {
             double value = Double.parseDouble(text);
             if (value >= least && value <= most) {
@@ -91,12 +91,12 @@
         return otherwise;
     }
 
-    int whole(String name, int least, int most, int otherwise) {
+    public int whole(String name, int least, int most, int otherwise) {
         String text = named.remove(name);
         return text == null ? otherwise : wholeOf(name, text, least, most, otherwise);
     }
 
-    int wholeOf(String name, String text, int least, int most, int otherwise) {
+    public int wholeOf(String name, String text, int least, int most, int otherwise) {
         if (text.matches("[0-9]{1,9}") && Integer.parseInt(text) >= least && Integer.parseInt(text) <= most) {
             return Integer.parseInt(text);
         }
@@ -104,7 +104,7 @@
         return otherwise;
     }
 
-    boolean flag(String name, boolean otherwise) {
+    public boolean flag(String name, boolean otherwise) {
         String text = named.remove(name);
         if (text == null || text.equals("yes") || text.equals("no")) {
             return text == null ? otherwise : text.equals("yes");
@@ -113,12 +113,12 @@
         return otherwise;
     }
 
-    String word(String name, String otherwise) {
+    public String word(String name, String otherwise) {
         String text = named.remove(name);
         return text == null ? otherwise : text;
     }
 
-    <T extends Enum<T>> T oneOf(String name, Class<T> type, T otherwise) {
+    public <T extends Enum<T>> T oneOf(String name, Class<T> type, T otherwise) {
         String text = named.remove(name);
         if (text == null) {
             return otherwise;
@@ -136,11 +136,11 @@
     }
 
     /** The address in a place; one of no host when the line is wrong. */
-    Address address(int place) {
+    public Address address(int place) {
         return good() ? addressOf(place(place)) : new Address("", 0);
     }
 
-    Address addressOf(String text) {
+    public Address addressOf(String text) {
         int colon = text.lastIndexOf(':');
         String host = colon < 0 ? "" : text.substring(0, colon).replaceAll("^\\[|\\]$", "");
         String port = colon < 0 ? "" : text.substring(colon + 1);
@@ -152,7 +152,7 @@
     }
 
     /** Notes the names that nobody asked for. */
-    void finish() {
+    public void finish() {
         named.keySet().forEach(name -> wrong("unknown argument '" + name + "' of " + line.keyword(),
                 "an argument that the manual names"));
         named.clear();
--- a/src/main/java/fawndock/settings/KeywordFile.java
+++ b/src/main/java/fawndock/settings/KeywordFile.java
@@ -12,7 +12,7 @@
 import java.util.function.Consumer;
 
 /** What all settings files have in common: a keyword on each line, checks across lines, and every mistake at once. */
-abstract class KeywordFile {
+public abstract class KeywordFile {
     protected final Map<String, Consumer<Line>> keywords = new LinkedHashMap<>();
     private final Set<String> often;
     private final List<Mistake> mistakes = new ArrayList<>();
@@ -22,7 +22,7 @@
     private boolean unread;
 
     /** @param often keywords that may stand on more than one line */
-    KeywordFile(Set<String> often) {
+    protected KeywordFile(Set<String> often) {
         this.often = often;
     }
 
