The core of an emulator: Logic and the table of counts in simulated time, judged as drills are

And a guard of a counter node, taken out, left all tests green: it was redundant while the time to begin alone is at least the time to miss a node.

Change: lab.emu: agenda, network, counter, workers, gatekeepers with the real decisions, clients, roster, nine troubles that can be put together; the drills' judge reads its trace. No command yet. The redundant guard is out, and the settings demand alone >= missing. A test that a sum never shrinks and that its parts are forgotten with its total.

The emulator's tests pass, among them one that the same seed gives the same run; its speed is not measured yet.

--- a/src/main/java/fawndock/counter/replica/ReplicaNode.java
+++ b/src/main/java/fawndock/counter/replica/ReplicaNode.java
@@ -41,7 +41,7 @@
      * Times, in milliseconds.
      *
      * @param missing after which a silent node counts as cut off or dead
-     * @param alone after which a node that reaches no other answers by itself
+     * @param alone after which a node that reaches no other answers by itself; at least missing
      */
     public record Times(long missing, long alone) {
     }
@@ -323,12 +323,11 @@
         if (ready || strange) {
             return;
         }
-        boolean any = others.values().stream().anyMatch(o -> o.ready && now - o.heardAt <= times.missing);
         boolean all = others.values().stream().allMatch(o -> o.gaveAll
                 || now - Math.max(startedAt, o.heardAt) >= times.alone);
         // Guards against a fleet in which each waits for another. It may answer with less than a node that cannot be
         // reached has; the estimate does not know of that either.
-        ready = !any && all && now - startedAt >= times.alone
+        ready = all && now - startedAt >= times.alone
                 || now - Math.max(startedAt, toldAt) >= 10 * times.alone;
     }
 
--- /dev/null
+++ b/src/main/java/fawndock/lab/emu/Deployment.java
@@ -0,0 +1,56 @@
+package fawndock.lab.emu;
+
+import fawndock.Gatekeeper.Limits;
+import fawndock.Gatekeeper.Plan;
+import fawndock.Gatekeeper.RequestClass;
+import fawndock.Gatekeeper.Rules;
+import fawndock.lab.load.Manners;
+import fawndock.lab.load.Shape;
+import fawndock.standin.Worker;
+import java.util.List;
+
+/**
+ * What is emulated.
+ *
+ * @param gatekeepers how many
+ * @param workers how many
+ * @param build of each worker
+ * @param thrash by which work takes longer for each request that waits beyond one a core, as a share; 0 for not at all
+ * @param network between all of them
+ * @param counter that all gatekeepers ask
+ * @param rosterMicros until a gatekeeper hears of a change
+ * @param seconds how long clients ask
+ */
+public record Deployment(int gatekeepers, int workers, Worker.Build build, double thrash, Network network, Counter counter,
+                         long rosterMicros, List<RequestClass> classes, List<Plan> plans, Limits limits, Rules rules,
+                         List<Demand> demands, double seconds, long seed) {
+    /**
+     * Each way of each message by itself.
+     *
+     * @param leastMicros that a way takes
+     * @param moreMicros that are added on average, exponentially
+     * @param loss share of the messages to and from the counter that never arrive
+     */
+    public record Network(long leastMicros, long moreMicros, double loss) {
+    }
+
+    /**
+     * The counter.
+     *
+     * @param perSecond calls that it takes, one after the other
+     * @param waitMicros after which a gatekeeper gives up a call
+     */
+    public record Counter(double perSecond, long waitMicros) {
+    }
+
+    /**
+     * What some customers ask.
+     *
+     * @param customers how many, with names that begin with the demand's
+     * @param spread gatekeepers that a customer comes through
+     * @param rate of all of them, a second
+     */
+    public record Demand(String name, String requestClass, String plan, int customers, double skew, int spread, double rate,
+                         Shape shape, long remainingMicros, Manners manners) {
+    }
+}
--- /dev/null
+++ b/src/main/java/fawndock/lab/emu/EmuGatekeeper.java
@@ -0,0 +1,200 @@
+package fawndock.lab.emu;
+
+import fawndock.Gatekeeper;
+import fawndock.Gatekeeper.Action;
+import fawndock.Gatekeeper.Attempt;
+import fawndock.Gatekeeper.Cancel;
+import fawndock.Gatekeeper.Count;
+import fawndock.Gatekeeper.Counted;
+import fawndock.Gatekeeper.Event;
+import fawndock.Gatekeeper.Fail;
+import fawndock.Gatekeeper.Gone;
+import fawndock.Gatekeeper.Message;
+import fawndock.Gatekeeper.Outcome;
+import fawndock.Gatekeeper.Probe;
+import fawndock.Gatekeeper.Probed;
+import fawndock.Gatekeeper.Refuse;
+import fawndock.Gatekeeper.Request;
+import fawndock.Gatekeeper.Result;
+import fawndock.Gatekeeper.Tell;
+import fawndock.Gatekeeper.Wake;
+import fawndock.Gatekeeper.WakeAfter;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/** A gatekeeper's host in simulated time: carries out what the decisions say, as the gateway does over sockets. */
+final class EmuGatekeeper {
+    /** A client's request, and where its final answer goes: a status, and the advice to wait in microseconds. */
+    private static final class Open {
+        final Request request;
+        final String name;
+        final String key;
+        final BiConsumer<Integer, Long> answer;
+        final Map<Integer, Boolean> out = new HashMap<>();
+        int attempts;
+        boolean over;
+
+        Open(Request request, String name, String key, BiConsumer<Integer, Long> answer) {
+            this.request = request;
+            this.name = name;
+            this.key = key;
+            this.answer = answer;
+        }
+    }
+
+    final int me;
+    private final Emulation in;
+    private final Gatekeeper gatekeeper;
+    private final Map<Long, Open> requests = new HashMap<>();
+    private final ArrayDeque<Event> inbox = new ArrayDeque<>();
+    private boolean telling;
+    private long nextId = 1;
+
+    EmuGatekeeper(int me, Emulation in, Gatekeeper gatekeeper) {
+        this.me = me;
+        this.in = in;
+        this.gatekeeper = gatekeeper;
+    }
+
+    /** A request has arrived; returns its number. */
+    long request(Request asked, String name, String key, BiConsumer<Integer, Long> answer) {
+        long id = nextId++;
+        Request request = new Request(id, asked.requestClass(), asked.plan(), asked.customer(), asked.giveUpAtMicros(),
+                asked.units(), asked.spread(), asked.first(), asked.repeat());
+        requests.put(id, new Open(request, name, key, answer));
+        tell(request);
+        return id;
+    }
+
+    /** The client of a request has left. */
+    void gone(long id) {
+        Open open = requests.get(id);
+        if (open != null && !open.over) {
+            open.over = true;
+            tell(new Gone(id));
+            forget(open);
+        }
+    }
+
+    void tell(Event event) {
+        inbox.add(event);
+        if (telling) {
+            return;
+        }
+        telling = true;
+        for (Event next = inbox.poll(); next != null; next = inbox.poll()) {
+            for (Action action : gatekeeper.on(in.agenda.now(), next)) {
+                carryOut(action);
+            }
+        }
+        telling = false;
+    }
+
+    private void carryOut(Action action) {
+        if (action instanceof Attempt a) {
+            attempt(a);
+        } else if (action instanceof Refuse a) {
+            end(a.requestId(), 429, a.retryAfterMicros());
+        } else if (action instanceof Fail a) {
+            end(a.requestId(), 504, 0);
+        } else if (action instanceof Count a) {
+            count(a);
+        } else if (action instanceof WakeAfter a) {
+            in.agenda.after(a.micros(), () -> tell(new Wake(a.token())));
+        } else if (action instanceof Cancel a) {
+            Open open = requests.get(a.requestId());
+            if (open != null) {
+                ended(open, a.attempt(), "", 0, Result.CANCELLED, Map.of());
+            }
+        } else if (action instanceof Probe a) {
+            probe(a.server());
+        } else if (action instanceof Tell a) {
+            in.peers(me, a.to(), to -> in.network.sendLossy("g" + me, "g" + to.me, () -> to.tell(new Message(me, a.text()))));
+        } else if (action instanceof Gatekeeper.Fetch) {
+            in.roster(this);
+        }
+    }
+
+    private void end(long id, int status, long retryAfter) {
+        Open open = requests.get(id);
+        if (open != null && !open.over) {
+            open.over = true;
+            open.answer.accept(status, retryAfter);
+            forget(open);
+        }
+    }
+
+    private void attempt(Attempt a) {
+        Open open = requests.get(a.requestId());
+        if (open == null) {
+            throw new IllegalStateException("an attempt for request " + a.requestId() + ", which is not held");
+        }
+        int number = open.attempts++;
+        servers.put(open.request.id() + "/" + number, a.server());
+        open.out.put(number, true);
+        long now = in.agenda.now();
+        long abandonAt = a.abandonAtMicros() <= 0 ? open.request.giveUpAtMicros()
+                : Math.min(a.abandonAtMicros(), open.request.giveUpAtMicros());
+        EmuWorker worker = in.worker(a.server());
+        if (open.over || worker == null || number >= in.deployment.limits().maxAttempts() || abandonAt <= now) {
+            in.agenda.after(0, () -> ended(open, number, a.server(), 0, Result.UNUSED, Map.of()));
+            return;
+        }
+        in.network.send(() -> worker.arrive(open.name, open.key, (result, load) -> in.network.send(() -> ended(open, number,
+                a.server(), in.agenda.now() - now, result, load))));
+        in.agenda.at(abandonAt, () -> ended(open, number, a.server(), in.agenda.now() - now, Result.TIMEOUT, Map.of()));
+    }
+
+    private final Map<String, String> servers = new HashMap<>();
+
+    /** An attempt ended, unless it had already. */
+    private void ended(Open open, int number, String server, long took, Result result, Map<String, Double> load) {
+        if (open.out.remove(number) == null) {
+            return;
+        }
+        String at = servers.remove(open.request.id() + "/" + number);
+        if (result == Result.OK && !open.over) {
+            open.over = true;
+            open.answer.accept(200, 0L);
+        }
+        tell(new Outcome(open.request.id(), number, at, took, result, open.over, 0, load));
+        forget(open);
+    }
+
+    private void forget(Open open) {
+        if (open.over && open.out.isEmpty()) {
+            requests.remove(open.request.id());
+        }
+    }
+
+    private void count(Count a) {
+        long at = in.agenda.now();
+        boolean[] over = {false};
+        in.network.sendLossy("g" + me, "counter", () -> in.counter.add(a.name(), a.amount(), a.keepMicros(), total ->
+                in.network.sendLossy("counter", "g" + me, () -> counted(over, new Counted(a.name(), Result.OK, total,
+                        in.agenda.now() - at)))));
+        long wait = in.deployment.counter().waitMicros();
+        in.agenda.after(wait, () -> counted(over, new Counted(a.name(), Result.TIMEOUT, 0, wait)));
+    }
+
+    private void counted(boolean[] over, Counted counted) {
+        if (!over[0]) {
+            over[0] = true;
+            tell(counted);
+        }
+    }
+
+    private void probe(String server) {
+        EmuWorker worker = in.worker(server);
+        long at = in.agenda.now();
+        in.network.send(() -> in.network.send(() -> tell(new Probed(server, in.agenda.now() - at, worker != null && worker.up()
+                && !worker.silent ? Result.OK : Result.TIMEOUT, Map.of()))));
+    }
+
+    /** Requests that are held. */
+    int held() {
+        return requests.size();
+    }
+}
--- a/src/main/java/fawndock/settings/CounterSettingsFile.java
+++ b/src/main/java/fawndock/settings/CounterSettingsFile.java
@@ -78,6 +78,9 @@
             fleet = new Fleet(a.place(0), a.whole("epoch", 1, 999_999_999, 1),
                     a.time("missing", 50_000, MINUTE, 150_000) / 1_000,
                     a.time("alone", 100_000, 10 * MINUTE, 2_000_000) / 1_000, Map.of());
+            if (fleet.aloneMillis() < fleet.missingMillis()) {
+                a.wrong("alone is shorter than missing", "at least " + fleet.missingMillis() + "ms");
+            }
             a.finish();
         });
         keywords.put("fellow", line -> {
--- a/src/test/java/fawndock/counter/replica/NodeRulesTest.java
+++ b/src/test/java/fawndock/counter/replica/NodeRulesTest.java
@@ -164,4 +164,14 @@
         beat("b", V1, 2, true, 400);
         assertTrue(node.next("b", 100, 400).all(), "it was away");
     }
+
+    @Test
+    void aSumNeverShrinksAndItsPartsAreForgottenAtOnce() {
+        upWithAll(0);
+        assertEquals("5", ask(sum("n.1", 7, 5), 10));
+        assertEquals("5", ask(sum("n.1", 7, 3), 20), "an older one, overtaken");
+        assertEquals("6", ask(sum("n.1", 8, 1), 59_000));
+        assertEquals("6", ask(sum("n.1", 7, 5), 59_900), "not added again before the total is forgotten");
+        assertEquals("2", ask(sum("n.1", 8, 2), 60_020), "all of it is forgotten at once");
+    }
 }
--- /dev/null
+++ b/src/test/java/fawndock/lab/emu/EmulationTest.java
@@ -0,0 +1,119 @@
+package fawndock.lab.emu;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import fawndock.Gatekeeper;
+import fawndock.Gatekeeper.Action;
+import fawndock.Gatekeeper.Attempt;
+import fawndock.Gatekeeper.Event;
+import fawndock.Gatekeeper.Group;
+import fawndock.Gatekeeper.Limits;
+import fawndock.Gatekeeper.Plan;
+import fawndock.Gatekeeper.Refuse;
+import fawndock.Gatekeeper.Repeat;
+import fawndock.Gatekeeper.Request;
+import fawndock.Gatekeeper.RequestClass;
+import fawndock.Gatekeeper.Rules;
+import fawndock.Logic;
+import fawndock.lab.load.Manners;
+import fawndock.lab.load.Shape;
+import fawndock.standin.Worker;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import org.junit.jupiter.api.Test;
+
+class EmulationTest {
+    private static final Manners PATIENT = new Manners(3_000_000, Manners.Retry.NONE, 0, 1, false);
+
+    private static Deployment deployment(long seed, double seconds) {
+        return new Deployment(6, 8, new Worker.Build(4, 20_000, 200, 0.2, 4_000_000, 2, 1_000_000), 0.02,
+                new Deployment.Network(200, 100, 0), new Deployment.Counter(20_000, 50_000), 50_000,
+                List.of(new RequestClass("lookup", 500_000, 1, 2_000_000, 1, 0, Repeat.IDEMPOTENT, Group.ALL, 0, false)),
+                List.of(new Plan("seat", 20, 40, 0, 1, 0, 0, 0, 0, 0)),
+                new Limits(3, 2_000, 60_000_000, false, true, true, true, true),
+                new Rules(10_000, 1_000_000, 0.2, 4_000_000, 2, 1_000_000, 60_000_000),
+                List.of(new Deployment.Demand("over", "lookup", "seat", 4, 0, 6, 120, new Shape.Constant(), 1_500_000, PATIENT),
+                        new Deployment.Demand("under", "lookup", "seat", 4, 0, 6, 40, new Shape.Constant(), 1_500_000,
+                                PATIENT)), seconds, seed);
+    }
+
+    private static Emulation.Result run(Emulation emulation) {
+        return emulation.run();
+    }
+
+    @Test
+    void eventsAtTheSameTimeHappenInTheOrderInWhichTheyWerePut() {
+        Agenda agenda = new Agenda();
+        List<Integer> seen = new ArrayList<>();
+        agenda.at(5, () -> {
+            seen.add(1);
+            agenda.at(5, () -> seen.add(4));
+            agenda.at(3, () -> seen.add(5));
+        });
+        agenda.at(5, () -> seen.add(2));
+        agenda.at(4, () -> seen.add(0));
+        agenda.at(5, () -> seen.add(3));
+        agenda.run(5);
+        assertEquals(List.of(0, 1, 2, 3, 4, 5), seen);
+        assertEquals(5, agenda.now());
+    }
+
+    @Test
+    void theSameSeedGivesTheSameRunAndCustomersAreHeldToTheirPlans() {
+        Emulation.Result first = run(new Emulation(deployment(1, 30), Logic::new));
+        assertEquals(first, run(new Emulation(deployment(1, 30), Logic::new)));
+        assertNotEquals(first.statuses(), run(new Emulation(deployment(2, 30), Logic::new)).statuses());
+        assertTrue(first.verdict().kept(), first.verdict().breaches().toString());
+        for (int i = 0; i < 4; i++) { // 30 a second asked, 20 allowed and a store of 40.
+            long over = first.used().get("over" + i);
+            assertTrue(over > 500 && over < 20 * 30 + 40 + 60, "used " + over);
+            assertTrue(first.used().get("under" + i) > 250, "under " + first.used());
+        }
+    }
+
+    @Test
+    void troublesShowAndTheRulesAreKept() {
+        long calm = run(new Emulation(deployment(1, 20), Logic::new)).statuses().get(200);
+        Emulation silent = new Emulation(deployment(1, 20), Logic::new);
+        Troubles.counterSilent(silent, 5, 15);
+        Emulation.Result result = run(silent);
+        assertTrue(result.statuses().get(200) > calm + 200, "let in while the counter is silent: " + result.statuses());
+        assertTrue(result.verdict().kept(), result.verdict().breaches().toString());
+        Emulation bad = new Emulation(deployment(1, 20), Logic::new);
+        Troubles.dies(bad, 3, 8, "w0");
+        Troubles.silent(bad, 6, 12, "w1");
+        Troubles.slow(bad, 6, 12, "w2", 10);
+        Troubles.losesAnswers(bad, 2, 18, "w3", 0.3);
+        Troubles.counterDies(bad, 9, 11, true);
+        Troubles.counterSplit(bad, 13, 16, 3);
+        Troubles.networkSlow(bad, 14, 15, 5);
+        Emulation.Result many = run(bad);
+        assertTrue(many.verdict().kept(), many.verdict().breaches().toString());
+        assertTrue(many.statuses().get(200) > 0.8 * calm, many.statuses() + " beside " + calm);
+    }
+
+    /** Decisions that answer twice, or send twice what must not be, are found by the same judge. */
+    @Test
+    void brokenDecisionsAreFound() {
+        Function<Gatekeeper.Settings, Gatekeeper> mute = s -> (now, event) -> List.of();
+        assertTrue(run(new Emulation(deployment(1, 2), mute)).verdict().unanswered() > 100);
+        Function<Gatekeeper.Settings, Gatekeeper> hasty = s -> new Gatekeeper() {
+            @Override
+            public List<Action> on(long now, Event event) {
+                return event instanceof Request r ? List.of(new Attempt(r.id(), "w0", 0), new Attempt(r.id(), "w1", 0))
+                        : List.of();
+            }
+        };
+        Deployment once = deployment(1, 2);
+        RequestClass charge = new RequestClass("lookup", 500_000, 1, 2_000_000, 1, 0, Repeat.AT_MOST_ONCE, Group.ALL, 0, false);
+        once = new Deployment(6, 8, once.build(), 0, once.network(), once.counter(), 0, List.of(charge), once.plans(),
+                once.limits(), once.rules(), once.demands(), 2, 1);
+        assertTrue(run(new Emulation(once, hasty)).verdict().breaches().size() > 5);
+        Function<Gatekeeper.Settings, Gatekeeper> strict = s -> (now, event) -> event instanceof Request r
+                ? List.of(new Refuse(r.id(), 1_000_000)) : List.of();
+        assertEquals(java.util.Set.of(429), run(new Emulation(deployment(1, 2), strict)).statuses().keySet());
+    }
+}
