--- a/src/main/java/fawndock/counter/replica/Rates.java
+++ b/src/main/java/fawndock/counter/replica/Rates.java
@@ -39,6 +39,8 @@
         long newestAt;
         String before = "";
         long beforeAt;
+        /** One that comes late, such as an amount taken back, does not begin a window again. */
+        String older = "";
     }
 
     private final Map<Key, Rate> rates = bounded();
@@ -71,7 +73,8 @@
     /** A name was asked for. */
     public void seen(String name, long now) {
         Windows of = windows.computeIfAbsent(Sum.series(name), s -> new Windows());
-        if (!of.newest.equals(name) && !of.before.equals(name)) {
+        if (!of.newest.equals(name) && !of.before.equals(name) && !of.older.equals(name)) {
+            of.older = of.before;
             of.before = of.newest;
             of.beforeAt = of.newestAt;
             of.newest = name;
