The emulator keeps an attempt's server once; whole-number lines are read in one place

Need: the emulator kept the servers of attempts in a second map, under keys made of text for each attempt, and passed them beside it; load and deployment files each read lines of one whole number by themselves; a method that nobody called.

Change: the attempts that are out carry their server; KeywordFile reads such lines.

--- a/src/main/java/fawndock/lab/emu/DeploymentFile.java
+++ b/src/main/java/fawndock/lab/emu/DeploymentFile.java
@@ -49,11 +49,7 @@
 
     private DeploymentFile() {
         super(Set.of("class", "plan", "demand", "trouble"));
-        keywords.put("gatekeepers", line -> {
-            Args a = args(line, 1, "gatekeepers NUMBER");
-            gatekeepers = a.wholeOf("gatekeepers", a.place(0), 1, 10_000, 1);
-            a.finish();
-        });
+        keywords.put("gatekeepers", line -> gatekeepers = whole(line, 1, 10_000));
         keywords.put("workers", this::workers);
         keywords.put("network", line -> {
             Args a = args(line, 0, "network [way TIME] [more TIME] [loss SHARE]");
@@ -68,11 +64,7 @@
         });
         keywords.put("roster", line -> roster = time(line, HOUR));
         keywords.put("for", line -> seconds = time(line, 24 * HOUR) / (double) SECOND);
-        keywords.put("seed", line -> {
-            Args a = args(line, 1, "seed NUMBER");
-            seed = a.wholeOf("seed", a.place(0), 0, 999_999_999, 1);
-            a.finish();
-        });
+        keywords.put("seed", line -> seed = whole(line, 0, 999_999_999));
         keywords.put("class", line -> {
             Args a = args(line, 1, "class NAME aim TIME deadline TIME [ARGUMENT VALUE ...]");
             RequestClass c = Entries.requestClass(a);
--- a/src/main/java/fawndock/lab/emu/EmuGatekeeper.java
+++ b/src/main/java/fawndock/lab/emu/EmuGatekeeper.java
@@ -32,7 +32,8 @@
         final String name;
         final String key;
         final BiConsumer<Integer, Long> answer;
-        final Map<Integer, Boolean> out = new HashMap<>();
+        /** Attempts that are out, each with its server. */
+        final Map<Integer, String> out = new HashMap<>();
         int attempts;
         boolean over;
 
@@ -106,7 +107,7 @@
         } else if (action instanceof Cancel a) {
             Open open = requests.get(a.requestId());
             if (open != null) {
-                ended(open, a.attempt(), "", 0, Result.CANCELLED, Map.of());
+                ended(open, a.attempt(), 0, Result.CANCELLED, Map.of());
             }
         } else if (action instanceof Probe a) {
             probe(a.server());
@@ -132,34 +133,31 @@
             throw new IllegalStateException("an attempt for request " + a.requestId() + ", which is not held");
         }
         int number = open.attempts++;
-        servers.put(open.request.id() + "/" + number, a.server());
-        open.out.put(number, true);
+        open.out.put(number, a.server());
         long now = in.agenda.now();
         long abandonAt = a.abandonAtMicros() <= 0 ? open.request.giveUpAtMicros()
                 : Math.min(a.abandonAtMicros(), open.request.giveUpAtMicros());
         EmuWorker worker = in.worker(a.server());
         if (open.over || worker == null || number >= in.deployment.limits().maxAttempts() || abandonAt <= now) {
-            in.agenda.after(0, () -> ended(open, number, a.server(), 0, Result.UNUSED, Map.of()));
+            in.agenda.after(0, () -> ended(open, number, 0, Result.UNUSED, Map.of()));
             return;
         }
         in.network.send(() -> worker.arrive(open.name, open.key, (result, load) -> in.network.send(() -> ended(open, number,
-                a.server(), in.agenda.now() - now, result, load))));
-        in.agenda.at(abandonAt, () -> ended(open, number, a.server(), in.agenda.now() - now, Result.TIMEOUT, Map.of()));
+                in.agenda.now() - now, result, load))));
+        in.agenda.at(abandonAt, () -> ended(open, number, in.agenda.now() - now, Result.TIMEOUT, Map.of()));
     }
 
-    private final Map<String, String> servers = new HashMap<>();
-
     /** An attempt ended, unless it had already. */
-    private void ended(Open open, int number, String server, long took, Result result, Map<String, Double> load) {
-        if (open.out.remove(number) == null) {
+    private void ended(Open open, int number, long took, Result result, Map<String, Double> load) {
+        String server = open.out.remove(number);
+        if (server == null) {
             return;
         }
-        String at = servers.remove(open.request.id() + "/" + number);
         if (result == Result.OK && !open.over) {
             open.over = true;
             open.answer.accept(200, 0L);
         }
-        tell(new Outcome(open.request.id(), number, at, took, result, open.over, 0, load));
+        tell(new Outcome(open.request.id(), number, server, took, result, open.over, 0, load));
         forget(open);
     }
 
@@ -192,9 +190,4 @@
         in.network.send(() -> in.network.send(() -> tell(new Probed(server, in.agenda.now() - at, worker != null && worker.up()
                 && !worker.silent ? Result.OK : Result.TIMEOUT, Map.of()))));
     }
-
-    /** Requests that are held. */
-    int held() {
-        return requests.size();
-    }
 }
--- a/src/main/java/fawndock/lab/load/LoadFile.java
+++ b/src/main/java/fawndock/lab/load/LoadFile.java
@@ -61,13 +61,6 @@
         return time;
     }
 
-    private int whole(Line line, int least, int most) {
-        Args a = args(line, 1, line.keyword() + " NUMBER");
-        int number = a.wholeOf(line.keyword(), a.place(0), least, most, least);
-        a.finish();
-        return number;
-    }
-
     private void flow(Line line) {
         Args a = args(line, 3, "flow NAME METHOD PATH rate NUMBER|clients NUMBER [ARGUMENT VALUE ...]");
         double rate = a.number("rate", 0.001, 1_000_000, 0);
--- a/src/main/java/fawndock/settings/KeywordFile.java
+++ b/src/main/java/fawndock/settings/KeywordFile.java
@@ -77,6 +77,14 @@
         });
     }
 
+    /** Reads a line that is a keyword and a whole number; the least when it is none. */
+    protected int whole(Line line, int least, int most) {
+        Args a = args(line, 1, line.keyword() + " NUMBER");
+        int number = a.wholeOf(line.keyword(), a.place(0), least, most, least);
+        a.finish();
+        return number;
+    }
+
     /** Reads {@code log text|json [level …]}. */
     protected DaemonSettings.Log log(Line line) {
         Args a = args(line, 1, "log text|json [level error|warn|info|debug]");
