--- a/src/main/java/fawndock/benchlink/BenchLink.java
+++ b/src/main/java/fawndock/benchlink/BenchLink.java
@@ -7,7 +7,10 @@
 import fawndock.Gatekeeper.Action;
 import fawndock.Gatekeeper.Settings;
 import fawndock.Logic;
-import fawndock.benchlink.Json.Obj;
+import fawndock.wire.Json;
+import fawndock.wire.Json.Obj;
+import fawndock.wire.SettingsReader;
+import fawndock.wire.WireException;
 import java.io.BufferedReader;
 import java.io.BufferedWriter;
 import java.io.IOException;
@@ -87,7 +90,8 @@
             instances.remove(instance);
             return;
         }
-        Settings settings = what.equals("Attach") ? Reader.settings(event) : null;
+        Settings settings = what.equals("Attach") ? SettingsReader.settings(event.object("options"), event.integerOr("rng-seed", 0))
+                : null;
         Gatekeeper.Event translated = settings == null ? Reader.event(what, event) : null;
         try {
             if (settings != null) {
--- a/src/main/java/fawndock/cli/Commands.java
+++ b/src/main/java/fawndock/cli/Commands.java
@@ -9,7 +9,7 @@
         description = "An API gateway that keeps each customer of a shared back end to its plan, across a fleet.",
         synopsisSubcommandLabel = "COMMAND",
         footer = "benchlink, without options, speaks the bench's wire on standard input and output.",
-        subcommands = {RunCommand.class, CheckCommand.class, DemoCommand.class, DrillCommand.class,
+        subcommands = {RunCommand.class, PlatformCommand.class, CheckCommand.class, DemoCommand.class, DrillCommand.class,
             BenchCommand.class, CounterCommand.class, CounterLogCommand.class, LoadCommand.class, EmulateCommand.class,
             ExperimentCommand.class, ReportCommand.class})
 public final class Commands extends Group {
--- /dev/null
+++ b/src/main/java/fawndock/cli/PlatformCommand.java
@@ -0,0 +1,23 @@
+package fawndock.cli;
+
+import fawndock.Logic;
+import fawndock.platform.PlatformDaemon;
+import fawndock.settings.DaemonSettings;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+
+/** {@code fawndock platform}: one gatekeeper on the operators' platform, told all by RELAY_CONFIG. */
+@Command(name = "platform", mixinStandardHelpOptions = true,
+        description = "Runs one gatekeeper on the platform, as RELAY_CONFIG says. SIGHUP reads it anew, SIGTERM stops.",
+        exitCodeListHeading = "Exit codes:%n", exitCodeList = {"0:stopped by SIGTERM after answering what was open",
+            "1:could not listen", "2:a configuration that cannot be used"})
+final class PlatformCommand implements Callable<Integer> {
+    @Override
+    public Integer call() throws Exception {
+        Logs.to(new DaemonSettings.Log(false, "info"));
+        PlatformDaemon daemon = new PlatformDaemon(System.getenv());
+        int code = daemon.run(Logic::new);
+        Logs.flush();
+        return code;
+    }
+}
--- a/src/main/java/fawndock/counter/Call.java
+++ b/src/main/java/fawndock/counter/Call.java
@@ -4,6 +4,7 @@
 import fawndock.counter.core.Changes;
 import fawndock.counter.core.CountException;
 import fawndock.counter.core.Counts;
+import fawndock.resp.ReplyWriter;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 
@@ -17,7 +18,7 @@
  * @param now milliseconds since 1970
  * @param changes where changes are noted; null for a command that makes none
  */
-record Call(byte[][] words, Replies reply, Session session, Counts counts, long now, Changes changes) {
+record Call(byte[][] words, ReplyWriter reply, Session session, Counts counts, long now, Changes changes) {
     byte[] word(int place) {
         return words[place];
     }
--- a/src/main/java/fawndock/counter/Engine.java
+++ b/src/main/java/fawndock/counter/Engine.java
@@ -5,6 +5,7 @@
 import fawndock.counter.core.Counts;
 import fawndock.counter.core.GroupCommit;
 import fawndock.counter.core.SteadyTime;
+import fawndock.resp.ReplyWriter;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Locale;
@@ -77,7 +78,7 @@
      *
      * @return the group that the answer must wait for, or 0
      */
-    long run(byte[][] words, Replies reply, Session session, long now) {
+    long run(byte[][] words, ReplyWriter reply, Session session, long now) {
         openGroup();
         long before = commit.pending();
         try {
@@ -122,7 +123,7 @@
         return command;
     }
 
-    private void perform(Command command, byte[][] words, Replies reply, Session session, long now)
+    private void perform(Command command, byte[][] words, ReplyWriter reply, Session session, long now)
             throws CountException {
         Changes changes = command.writes() ? room(bytes(command, words)) : null;
         done++;
@@ -147,7 +148,7 @@
         return command.changes() * bytes;
     }
 
-    private void queue(byte[][] words, Command command, Replies reply, Session session) throws CountException {
+    private void queue(byte[][] words, Command command, ReplyWriter reply, Session session) throws CountException {
         if (command.name().equals("QUIT")) {
             session.transaction = null;
             perform(command, words, reply, session, 0);
@@ -158,7 +159,7 @@
         }
     }
 
-    private void transaction(String name, Replies reply, Session session, long now) throws CountException {
+    private void transaction(String name, ReplyWriter reply, Session session, long now) throws CountException {
         Transaction ending = session.transaction;
         if (name.equals("MULTI")) {
             if (ending != null) {
--- a/src/main/java/fawndock/counter/Session.java
+++ b/src/main/java/fawndock/counter/Session.java
@@ -1,5 +1,8 @@
 package fawndock.counter;
 
+import fawndock.resp.CommandReader;
+import fawndock.resp.ProtocolException;
+import fawndock.resp.ReplyWriter;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -21,12 +24,12 @@
 
     final long id;
     final Engine engine;
-    private final RespReader reader = new RespReader();
+    private final CommandReader reader = new CommandReader(CommandReader.Limits.SERVER);
     private final ArrayDeque<Held> held = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private ByteBuf input;
     private ByteBuf scratch;
-    private Replies reply;
+    private ReplyWriter reply;
     private long heldBytes;
     private boolean ending;
     private boolean later;
@@ -46,7 +49,7 @@
         context = handler;
         input = handler.alloc().buffer(256);
         scratch = handler.alloc().buffer(256);
-        reply = new Replies(scratch);
+        reply = new ReplyWriter(scratch);
     }
 
     @Override
@@ -84,7 +87,7 @@
                     direct = null;
                 }
             }
-        } catch (RespReader.ProtocolException e) {
+        } catch (ProtocolException e) {
             scratch.clear();
             reply.error(e.getMessage());
             direct = answer(0, direct);
--- a/src/main/java/fawndock/gateway/AnswerLog.java
+++ b/src/main/java/fawndock/gateway/AnswerLog.java
@@ -2,12 +2,15 @@
 
 import static net.logstash.logback.argument.StructuredArguments.kv;
 
-import fawndock.gateway.Exchange.Asked;
+import fawndock.host.Answers;
+import fawndock.host.Exchange.Asked;
+import fawndock.host.OpenRequest;
+import java.util.Locale;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /** One line for each final answer, under the logger {@code fawndock.answers}; docs/operations.md lists its fields. */
-final class AnswerLog {
+final class AnswerLog implements Answers {
     private static final Logger LOG = LoggerFactory.getLogger("fawndock.answers");
     private final int gatekeeper;
     private final boolean on;
@@ -17,17 +20,27 @@
         this.on = on;
     }
 
-    void answered(OpenRequest request, long now, String verdict, int status, String reason) {
+    @Override
+    public void answered(OpenRequest request, long now, Verdict verdict, String reason) {
         if (on && LOG.isInfoEnabled()) {
             Asked a = request.exchange.asked();
             LOG.info("{} {} {} {} {} {} {} {} {} {} {} {}", kv("request", request.id), kv("label", a.label()),
                     kv("gatekeeper", gatekeeper), kv("class", a.type().name()), kv("plan", a.plan()),
-                    kv("customer", a.customer()), kv("attempts", request.attempts.size()), kv("verdict", verdict),
-                    kv("reason", reason), kv("status", status), kv("took_us", now - a.arrivedAt()),
+                    kv("customer", a.customer()), kv("attempts", request.attempts.size()), kv("verdict", verdict.name().toLowerCase(Locale.ROOT)),
+                    kv("reason", reason), kv("status", status(request, verdict)), kv("took_us", now - a.arrivedAt()),
                     kv("left_us", a.giveUpAt() - now));
         }
     }
 
+    private static int status(OpenRequest request, Verdict verdict) {
+        return switch (verdict) {
+            case SERVED -> request.exchange instanceof HttpExchange http ? http.status() : 0;
+            case REFUSED -> 429;
+            case FAILED -> request.streamed() ? 0 : request.answered() ? 502 : 504;
+            case GONE -> 0;
+        };
+    }
+
     /** A request that was answered without asking the gatekeeper. */
     void turnedAway(String label, int status, String reason) {
         if (on && LOG.isInfoEnabled()) {
--- a/src/main/java/fawndock/gateway/CounterLink.java
+++ b/src/main/java/fawndock/gateway/CounterLink.java
@@ -7,6 +7,8 @@
 import com.dynatrace.hash4j.random.PseudoRandomGeneratorProvider;
 import fawndock.Gatekeeper.Count;
 import fawndock.Gatekeeper.Counted;
+import fawndock.host.Alarms;
+import fawndock.host.MicroClock;
 import fawndock.settings.Address;
 import fawndock.settings.DaemonSettings.CounterParts;
 import io.vertx.core.Context;
--- a/src/main/java/fawndock/gateway/Front.java
+++ b/src/main/java/fawndock/gateway/Front.java
@@ -3,7 +3,9 @@
 import fawndock.Gatekeeper.Plan;
 import fawndock.Gatekeeper.Repeat;
 import fawndock.Gatekeeper.RequestClass;
-import fawndock.gateway.Exchange.Asked;
+import fawndock.host.Alarms;
+import fawndock.host.Exchange.Asked;
+import fawndock.host.GatekeeperHost;
 import fawndock.settings.DaemonSettings;
 import fawndock.settings.DaemonSettings.Key;
 import fawndock.settings.DaemonSettings.Route;
@@ -53,10 +55,7 @@
     void handle(HttpServerRequest request) {
         long arrivedAt = host.clock().now();
         try {
-            Asked asked = read(request, arrivedAt);
-            if (asked != null) {
-                collect(request, asked);
-            }
+            read(request, arrivedAt);
         } catch (Unfit e) {
             turnAway(request, e.problem);
         }
@@ -73,7 +72,7 @@
         }
     }
 
-    private Asked read(HttpServerRequest request, long arrivedAt) {
+    private void read(HttpServerRequest request, long arrivedAt) {
         String path = request.path();
         if (path == null || DOT_SEGMENT.matcher(path).find()) {
             throw new Unfit(400, "path", "Path cannot be read", "Send it without dot segments.");
@@ -104,9 +103,9 @@
         MultiMap headers = Headers.forwarded(request.headers(), kept);
         headers.add("via", (request.version().alpnName().startsWith("h2") ? "2" : "1.1") + " fawndock");
         String label = request.getHeader("x-request-id");
-        return new Asked(type, holder.plan(), holder.customer(), arrivedAt, arrivedAt + left, units(request),
-                spread, holder.first(), repeat, request.method(), request.uri(), headers, Buffer.buffer(),
-                label == null ? "" : label.substring(0, Math.min(64, label.length())));
+        Asked asked = new Asked(type, holder.plan(), holder.customer(), arrivedAt, arrivedAt + left, units(request),
+                spread, holder.first(), repeat, label == null ? "" : label.substring(0, Math.min(64, label.length())));
+        collect(request, asked, new HttpAsked(request.method(), request.uri(), headers, Buffer.buffer()));
     }
 
     private void idempotencyKey(HttpServerRequest request, RequestClass type) {
@@ -157,14 +156,14 @@
     }
 
     /** Takes in the body, which a repeat may need again, up to the stated size. */
-    private void collect(HttpServerRequest request, Asked asked) {
+    private void collect(HttpServerRequest request, Asked asked, HttpAsked sent) {
         int limit = settings.http().bodyLimit();
         String length = request.getHeader("content-length");
         if (length != null && (!LENGTH.matcher(length).matches() || Long.parseLong(length) > limit)) {
             throw tooLarge(limit);
         }
         if (length == null && request.version() != HttpVersion.HTTP_2 && !request.headers().contains("transfer-encoding")) {
-            enter(request, asked); // No body can come (RFC 9112, 6.3).
+            enter(request, asked, sent); // No body can come (RFC 9112, 6.3).
             return;
         }
         boolean[] ended = {false};
@@ -179,8 +178,8 @@
             host.alarms().cancel(late);
         });
         request.handler(part -> {
-            asked.body().appendBuffer(part);
-            if (!ended[0] && asked.body().length() > limit) {
+            sent.body().appendBuffer(part);
+            if (!ended[0] && sent.body().length() > limit) {
                 ended[0] = true;
                 host.alarms().cancel(late);
                 turnAway(request, tooLarge(limit).problem);
@@ -190,7 +189,7 @@
             host.alarms().cancel(late);
             if (!ended[0]) {
                 ended[0] = true;
-                enter(request, asked);
+                enter(request, asked, sent);
             }
         });
     }
@@ -199,7 +198,7 @@
         return new Unfit(413, "size", "Body too large", "At most " + limit + " bytes are taken.");
     }
 
-    private void enter(HttpServerRequest request, Asked asked) {
+    private void enter(HttpServerRequest request, Asked asked, HttpAsked sent) {
         if (host.open() >= settings.limits().maxOpen()) {
             request.response().putHeader("retry-after", "1");
             turnAway(request, new Problem(503, "open", "Too many open requests", "Trying again is harmless."));
@@ -210,7 +209,7 @@
         request.response().closeHandler(closed -> host.gone(id[0]));
         request.response().exceptionHandler(e -> host.gone(id[0]));
         request.exceptionHandler(e -> host.gone(id[0]));
-        id[0] = host.request(new HttpExchange(request, asked, plans.get(asked.plan())));
+        id[0] = host.request(new HttpExchange(request, asked, sent, plans.get(asked.plan())));
     }
 
     private void turnAway(HttpServerRequest request, Problem problem) {
--- a/src/main/java/fawndock/gateway/GatekeeperNode.java
+++ b/src/main/java/fawndock/gateway/GatekeeperNode.java
@@ -3,8 +3,15 @@
 import fawndock.Gatekeeper;
 import fawndock.Gatekeeper.Count;
 import fawndock.Gatekeeper.Counter;
+import fawndock.Gatekeeper.Probed;
+import fawndock.Gatekeeper.Result;
 import fawndock.Gatekeeper.Settings;
 import fawndock.Gatekeeper.Tell;
+import fawndock.host.Alarms;
+import fawndock.host.GatekeeperHost;
+import fawndock.host.MicroClock;
+import fawndock.host.OpenAttempt;
+import fawndock.host.OpenRequest;
 import fawndock.settings.Address;
 import fawndock.settings.DaemonSettings;
 import io.vertx.core.Future;
@@ -14,6 +21,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.RequestOptions;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
@@ -21,7 +29,7 @@
 import org.slf4j.LoggerFactory;
 
 /** One gatekeeper with its sockets, on one event loop; a process runs one or several. */
-public final class GatekeeperNode extends VerticleBase implements GatekeeperHost.Links {
+public final class GatekeeperNode extends VerticleBase implements GatekeeperHost.Links, WorkerAttempt.Ways {
     /** How often a host looks at its gatekeeper's timers: the least gap between two batches of events. */
     private static final long ROUND_MICROS = 5_000;
     private static final Logger LOG = LoggerFactory.getLogger(GatekeeperNode.class);
@@ -61,8 +69,7 @@
         alarms = new Alarms(vertx);
         AnswerLog answerLog = new AnswerLog(me, true);
         workers = new WorkerPools(vertx, settings);
-        host = new GatekeeperHost(clock, alarms, workers, this, settings.limits().maxAttempts(),
-                settings.http().answerLimit(), answerLog);
+        host = new GatekeeperHost(clock, alarms, this, settings.limits().maxAttempts(), answerLog);
         host.decideBy(maker.apply(new Settings(me, settings.fleet(), settings.seed() + me, ROUND_MICROS,
                 settings.zone(), settings.roster().mustAsk(), settings.classes(), settings.plans(),
                 settings.limits(), settings.rules(), new Counter(!settings.counter().none(),
@@ -153,4 +160,33 @@
         Address address = roster.address(id);
         return address == null ? null : new RequestOptions().setHost(address.host()).setPort(address.port());
     }
+
+    @Override
+    public WorkerPools workers() {
+        return workers;
+    }
+
+    @Override
+    public int answerLimit() {
+        return settings.http().answerLimit();
+    }
+
+    @Override
+    public OpenAttempt attempt(OpenRequest request, int number, String server) {
+        return new WorkerAttempt(host, request, number, server, this);
+    }
+
+    @Override
+    public void probe(String server) {
+        long startedAt = host.clock().now();
+        RequestOptions target = target(server);
+        if (target == null) {
+            host.tell(new Probed(server, 0, Result.UNUSED, Map.of()));
+            return;
+        }
+        target.setURI("/healthz").setTimeout(1_000);
+        workers.request(target).compose(r -> r.send()).onComplete(done -> host.tell(new Probed(server,
+                host.clock().now() - startedAt, done.failed() ? Result.TIMEOUT : Ends.answered(done.result().statusCode()),
+                done.failed() ? Map.of() : LoadReport.parse(done.result().getHeader(LoadReport.HEADER)).load())));
+    }
 }
--- /dev/null
+++ b/src/main/java/fawndock/gateway/HttpAsked.java
@@ -0,0 +1,9 @@
+package fawndock.gateway;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+
+/** What of a client's HTTP request goes on to a worker. */
+record HttpAsked(HttpMethod method, String uri, MultiMap headers, Buffer body) {
+}
--- a/src/main/java/fawndock/gateway/HttpExchange.java
+++ b/src/main/java/fawndock/gateway/HttpExchange.java
@@ -1,6 +1,7 @@
 package fawndock.gateway;
 
 import fawndock.Gatekeeper.Plan;
+import fawndock.host.Exchange;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
@@ -14,11 +15,14 @@
 final class HttpExchange implements Exchange {
     private final HttpServerRequest request;
     private final Asked asked;
+    private final HttpAsked sent;
+    private int status;
     private final Plan plan;
 
-    HttpExchange(HttpServerRequest request, Asked asked, Plan plan) {
+    HttpExchange(HttpServerRequest request, Asked asked, HttpAsked sent, Plan plan) {
         this.request = request;
         this.asked = asked;
+        this.sent = sent;
         this.plan = plan;
     }
 
@@ -27,8 +31,23 @@
         return asked;
     }
 
-    @Override
-    public void serve(int status, MultiMap headers, Buffer body) {
+    /** What goes on to a worker. */
+    HttpAsked sent() {
+        return sent;
+    }
+
+    /** The status of the whole answer that it got, or 0. */
+    int status() {
+        return status;
+    }
+
+    /** A worker's whole answer will be served with this status. */
+    void serving(int status) {
+        this.status = status;
+    }
+
+    /** A worker's whole answer, with all of its header fields. */
+    void serve(int status, MultiMap headers, Buffer body) {
         HttpServerResponse response = request.response();
         if (response.closed()) {
             return;
@@ -43,8 +62,12 @@
         }
     }
 
-    @Override
-    public void stream(HttpClientResponse answer, Buffer soFar, Consumer<Throwable> ended) {
+    /**
+     * Begins a streamed answer, with what came of it so far; the rest is piped at the client's pace.
+     *
+     * @param ended told once: null when all of it was passed on, else what broke on either side
+     */
+    void stream(HttpClientResponse answer, Buffer soFar, Consumer<Throwable> ended) {
         HttpServerResponse response = request.response();
         response.setStatusCode(answer.statusCode());
         Headers.copy(answer.headers(), response.headers(), Set.of());
@@ -72,7 +95,8 @@
     }
 
     @Override
-    public void fail(int status, String reason) {
+    public void fail(boolean answered, String reason) {
+        int status = answered ? 502 : 504;
         new Problem(status, "failed", status == 504 ? "No answer in time" : "No usable answer",
                 "The request may have had its effect: " + reason + ".").answer(request);
     }
--- a/src/main/java/fawndock/gateway/NodeLine.java
+++ b/src/main/java/fawndock/gateway/NodeLine.java
@@ -1,5 +1,6 @@
 package fawndock.gateway;
 
+import fawndock.host.Alarms;
 import fawndock.settings.Address;
 import io.vertx.core.AsyncResult;
 import io.vertx.core.Context;
--- a/src/main/java/fawndock/gateway/PeerLink.java
+++ b/src/main/java/fawndock/gateway/PeerLink.java
@@ -2,6 +2,7 @@
 
 import fawndock.Gatekeeper.Message;
 import fawndock.Gatekeeper.Tell;
+import fawndock.host.MicroClock;
 import fawndock.settings.Address;
 import fawndock.settings.DaemonSettings.Peers;
 import io.vertx.core.Future;
--- a/src/main/java/fawndock/gateway/RosterLink.java
+++ b/src/main/java/fawndock/gateway/RosterLink.java
@@ -4,6 +4,7 @@
 import fawndock.Gatekeeper.Listing;
 import fawndock.Gatekeeper.Server;
 import fawndock.Gatekeeper.Servers;
+import fawndock.host.Alarms;
 import fawndock.settings.Address;
 import fawndock.settings.DaemonSettings.RosterSource;
 import io.vertx.core.Vertx;
--- a/src/main/java/fawndock/gateway/WarmUp.java
+++ b/src/main/java/fawndock/gateway/WarmUp.java
@@ -9,6 +9,11 @@
 import fawndock.Gatekeeper.Servers;
 import fawndock.Gatekeeper.Settings;
 import fawndock.Gatekeeper.Tell;
+import fawndock.host.Alarms;
+import fawndock.host.GatekeeperHost;
+import fawndock.host.MicroClock;
+import fawndock.host.OpenAttempt;
+import fawndock.host.OpenRequest;
 import fawndock.settings.DaemonSettings;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -28,7 +33,7 @@
  * first client is let in. Guards against the first clients waiting for classes to load while their time runs out:
  * about 350 ms was seen. May delay a start by its time limit; it touches neither roster, counter nor real workers.
  */
-final class WarmUp implements GatekeeperHost.Links {
+final class WarmUp implements GatekeeperHost.Links, WorkerAttempt.Ways {
     private static final int REQUESTS = 200;
     private static final int AT_ONCE = 10;
     private static final long LIMIT_MILLIS = 3_000;
@@ -37,6 +42,8 @@
     private final DaemonSettings settings;
     private final Function<Settings, Gatekeeper> maker;
     private int workerPort;
+    private WorkerPools pools;
+    private GatekeeperHost host;
 
     WarmUp(Vertx vertx, DaemonSettings settings, Function<Settings, Gatekeeper> maker) {
         this.vertx = vertx;
@@ -51,10 +58,9 @@
                 settings.routes(), settings.limits(), settings.rules(), settings.counter(), settings.roster(),
                 settings.peers(), settings.http(), settings.log(), settings.rateLimit());
         Alarms alarms = new Alarms(vertx);
-        WorkerPools pools = new WorkerPools(vertx, own);
+        pools = new WorkerPools(vertx, own);
         AnswerLog silent = new AnswerLog(-1, false);
-        GatekeeperHost host = new GatekeeperHost(new MicroClock(), alarms, pools, this, 1,
-                own.http().answerLimit(), silent);
+        host = new GatekeeperHost(new MicroClock(), alarms, this, 1, silent);
         host.decideBy(maker.apply(new Settings(0, 1, 1, 5_000, own.zone(), false, own.classes(), own.plans(),
                 own.limits(), own.rules(), new Counter(false, 50_000, false))));
         HttpServer worker = vertx.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(true))
@@ -121,4 +127,24 @@
     public RequestOptions target(String server) {
         return new RequestOptions().setHost("127.0.0.1").setPort(workerPort);
     }
+
+    @Override
+    public OpenAttempt attempt(OpenRequest request, int number, String server) {
+        return new WorkerAttempt(host, request, number, server, this);
+    }
+
+    @Override
+    public void probe(String server) {
+        throw new IllegalStateException("nothing is probed here");
+    }
+
+    @Override
+    public WorkerPools workers() {
+        return pools;
+    }
+
+    @Override
+    public int answerLimit() {
+        return settings.http().answerLimit();
+    }
 }
--- a/src/main/java/fawndock/gateway/WorkerAttempt.java
+++ b/src/main/java/fawndock/gateway/WorkerAttempt.java
@@ -1,49 +1,69 @@
 package fawndock.gateway;
 
 import fawndock.Gatekeeper.Result;
+import fawndock.host.Alarms;
+import fawndock.host.GatekeeperHost;
+import fawndock.host.OpenAttempt;
+import fawndock.host.OpenRequest;
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.RequestOptions;
 
-/**
- * One attempt of a request at a worker: from the pool's connection to the end of the answer. It ends exactly once,
- * by the first of what happens to it, and tells its host the end; what comes later is dropped. One context.
- */
-final class WorkerAttempt {
+/** One attempt at a worker over HTTP: from the pool's connection to the end of the answer. One context. */
+final class WorkerAttempt extends OpenAttempt {
     /** How far an attempt has come. */
     private enum Stage { CONNECTING, SENT, STREAMING, ENDED }
 
-    private final GatekeeperHost host;
-    private final OpenRequest open;
-    final int number;
-    final String server;
-    private final long startedAt;
+    /** What attempts need of their gateway. */
+    interface Ways {
+        /** Where and how to send to a server, or null when nobody has told its address. */
+        RequestOptions target(String server);
+
+        WorkerPools workers();
+
+        /** Bytes of an answer that are kept before it is streamed. */
+        int answerLimit();
+    }
+
+    private final Ways ways;
+    private final HttpExchange exchange;
     private Stage stage = Stage.CONNECTING;
-    private Alarms.Alarm abandon;
     private HttpClientRequest request;
     private LoadReport.Report report = LoadReport.NONE;
     private Buffer body = Buffer.buffer();
-    Result result;
-
-    WorkerAttempt(GatekeeperHost host, OpenRequest open, int number, String server) {
-        this.host = host;
-        this.open = open;
-        this.number = number;
-        this.server = server;
-        this.startedAt = host.clock().now();
+
+    WorkerAttempt(GatekeeperHost host, OpenRequest open, int number, String server, Ways ways) {
+        super(host, open, number, server);
+        this.ways = ways;
+        this.exchange = (HttpExchange) open.exchange;
     }
 
-    /** Connects and sends; gives up at the time given, and is cancelled when that comes first. */
-    void start(RequestOptions options, long abandonAtMicros) {
-        abandon = host.alarms().after(abandonAtMicros - startedAt, this::timeOut);
-        host.workers().request(options).onComplete(connected -> {
+    @Override
+    protected void begin(long abandonAt) {
+        RequestOptions target = ways.target(server);
+        if (target == null) {
+            finish(Result.UNUSED);
+            return;
+        }
+        HttpAsked asked = exchange.sent();
+        // The first attempt takes the fields as they are; another may be on its way with them.
+        MultiMap headers = number == 0 ? asked.headers() : HttpHeaders.headers().addAll(asked.headers());
+        headers.set("x-envoy-expected-rq-timeout-ms", Long.toString(Math.max(1, (abandonAt - host.clock().now()) / 1_000)));
+        if (!headers.contains("x-request-id")) {
+            headers.set("x-request-id", Long.toString(open.id));
+        }
+        headers.set("x-envoy-attempt-count", Integer.toString(number + 1));
+        target.setMethod(asked.method()).setURI(asked.uri()).setHeaders(headers);
+        ways.workers().request(target).onComplete(connected -> {
             if (stage == Stage.ENDED) {
                 if (connected.succeeded()) {
                     connected.result().reset(Ends.CANCEL);
                 }
             } else if (connected.failed()) {
-                end(Result.CONNECT_FAILED);
+                finish(Result.CONNECT_FAILED);
             } else {
                 send(connected.result());
             }
@@ -54,7 +74,7 @@
         request = connected;
         stage = Stage.SENT;
         request.exceptionHandler(this::broken);
-        Buffer sent = open.exchange.asked().body();
+        Buffer sent = exchange.sent().body();
         (sent.length() == 0 ? request.send() : request.send(sent)).onComplete(answer -> {
             if (answer.failed()) {
                 broken(answer.cause());
@@ -71,23 +91,24 @@
         report = LoadReport.parse(answer.getHeader(LoadReport.HEADER));
         answer.exceptionHandler(this::broken);
         if (Ends.answered(answer.statusCode()) != Result.OK) {
-            end(Ends.answered(answer.statusCode()));
+            finish(Ends.answered(answer.statusCode()));
             answer.resume();
-        } else if (open.stage != OpenRequest.Stage.OPEN) {
-            answer.endHandler(done -> end(Result.OK));
-        } else if (open.exchange.asked().type().streamed()) {
+        } else if (!open.open()) {
+            answer.endHandler(done -> finish(Result.OK));
+        } else if (exchange.asked().type().streamed()) {
             stream(answer);
         } else {
             answer.handler(part -> {
                 body.appendBuffer(part);
-                if (stage == Stage.SENT && body.length() > host.answerLimit()) {
+                if (stage == Stage.SENT && body.length() > ways.answerLimit()) {
                     stream(answer);
                 }
             });
             answer.endHandler(done -> {
                 if (stage == Stage.SENT) {
-                    host.deliver(open, this, answer.statusCode(), answer.headers(), body);
-                    end(Result.OK);
+                    exchange.serving(answer.statusCode());
+                    host.deliver(open, this, () -> exchange.serve(answer.statusCode(), answer.headers(), body));
+                    finish(Result.OK);
                 }
             });
         }
@@ -95,70 +116,63 @@
 
     /** From here on the answer is the client's: neither time-out nor cancel ends it. */
     private void stream(HttpClientResponse answer) {
-        if (open.stage != OpenRequest.Stage.OPEN) {
+        if (!open.open()) {
             answer.handler(null);
-            answer.endHandler(done -> end(Result.OK));
+            answer.endHandler(done -> finish(Result.OK));
             return;
         }
         stage = Stage.STREAMING;
-        host.alarms().cancel(abandon);
+        keep();
         host.begin(open, this);
         Buffer soFar = body;
         body = Buffer.buffer();
-        open.exchange.stream(answer, soFar, broken -> {
+        exchange.stream(answer, soFar, broken -> {
             if (stage == Stage.STREAMING) {
                 host.streamed(open, this, broken == null);
-                end(broken == null ? Result.OK : Result.RESET);
+                finish(broken == null ? Result.OK : Result.RESET);
             }
         });
     }
 
     private void broken(Throwable cause) {
         if (stage == Stage.SENT) {
-            end(Ends.broken(cause, request.streamId(), host.workers().lastStream(request.connection())));
+            finish(Ends.broken(cause, request.streamId(), ways.workers().lastStream(request.connection())));
         }
     }
 
-    private void timeOut() {
+    @Override
+    protected void abandoned() {
         if (stage == Stage.CONNECTING) {
-            end(Result.CONNECT_FAILED);
+            finish(Result.CONNECT_FAILED);
         } else if (stage == Stage.SENT) {
-            end(Result.TIMEOUT);
+            finish(Result.TIMEOUT);
             request.reset(Ends.CANCEL);
         }
     }
 
-    /** Calls the attempt off unless its answer has begun. */
-    void cancel() {
+    @Override
+    public void cancel() {
         if (stage == Stage.CONNECTING) {
-            end(Result.UNUSED);
+            finish(Result.UNUSED);
         } else if (stage == Stage.SENT) {
-            end(Result.CANCELLED);
+            finish(Result.CANCELLED);
             request.reset(Ends.CANCEL);
         }
     }
 
-    /** The client of a streamed answer has left. */
-    void leave() {
+    @Override
+    public void leave() {
         if (stage == Stage.STREAMING) {
-            end(Result.CANCELLED);
+            finish(Result.CANCELLED);
             request.reset(Ends.CANCEL);
         }
     }
 
-    /** Ends an attempt that was never started. */
-    void unused() {
-        end(Result.UNUSED);
-    }
-
-    private void end(Result how) {
-        if (stage == Stage.ENDED) {
-            return;
+    private void finish(Result how) {
+        if (stage != Stage.ENDED) {
+            stage = Stage.ENDED;
+            body = null;
+            end(how, report.load(), report.units());
         }
-        stage = Stage.ENDED;
-        result = how;
-        body = null;
-        host.alarms().cancel(abandon);
-        host.ended(open, this, host.clock().now() - startedAt, report);
     }
 }
--- a/src/main/java/fawndock/gateway/Alarms.java
+++ b/src/main/java/fawndock/host/Alarms.java
@@ -1,4 +1,4 @@
-package fawndock.gateway;
+package fawndock.host;
 
 import io.vertx.core.Vertx;
 
@@ -8,11 +8,11 @@
  * against the several timers that each request leaves until its deadline, hundreds of thousands at full load, in a
  * queue whose cost grows with their number. Bounded by the requests taken on within the longest deadline.
  */
-final class Alarms {
+public final class Alarms {
     private static final int SLOTS = 4_096;
 
     /** One alarm; it rings once, unless cancelled before. */
-    static final class Alarm {
+    public static final class Alarm {
         private final long tick;
         private Runnable what;
         private Alarm next;
@@ -34,12 +34,13 @@
     private long armedFor;
     private boolean ringing;
 
-    Alarms(Vertx vertx) {
+    /** Alarms of the context that this is made on. */
+    public Alarms(Vertx vertx) {
         this.vertx = vertx;
     }
 
     /** Runs something after at least so many microseconds, on the context that asks; those of one tick in order. */
-    Alarm after(long micros, Runnable what) {
+    public Alarm after(long micros, Runnable what) {
         long due = (System.nanoTime() - begin + Math.max(0, micros) * 1_000 + 999_999) / 1_000_000;
         Alarm alarm = new Alarm(Math.max(due, rung + 1), what);
         append(alarm);
@@ -51,18 +52,20 @@
     }
 
     /** An alarm that is cancelled takes its place until its time, but holds nothing else. */
-    void cancel(Alarm alarm) {
+    public void cancel(Alarm alarm) {
         if (alarm != null && alarm.what != null) {
             alarm.what = null;
             pending--;
         }
     }
 
-    int pending() {
+    /** Alarms that have neither rung nor been cancelled. */
+    public int pending() {
         return pending;
     }
 
-    void close() {
+    /** Forgets all of them. */
+    public void close() {
         java.util.Arrays.fill(heads, null);
         java.util.Arrays.fill(tails, null);
         pending = 0;
--- a/src/main/java/fawndock/gateway/Decisions.java
+++ b/src/main/java/fawndock/host/Decisions.java
@@ -1,4 +1,4 @@
-package fawndock.gateway;
+package fawndock.host;
 
 import fawndock.Gatekeeper;
 import fawndock.Gatekeeper.Action;
@@ -11,7 +11,7 @@
  * Tells a gatekeeper what happened, in order, and has carried out what it says. What is told while an action is carried out waits its
  * turn, so the gatekeeper never calls itself. One context.
  */
-final class Decisions {
+public final class Decisions {
     private final Gatekeeper gatekeeper;
     private final MicroClock clock;
     private final Consumer<Action> carryOut;
@@ -19,14 +19,16 @@
     private final ArrayDeque<Event> inbox = new ArrayDeque<>();
     private boolean telling;
 
-    Decisions(Gatekeeper gatekeeper, MicroClock clock, Consumer<Action> carryOut, Logger log) {
+    /** Decisions that are carried out by the consumer given. */
+    public Decisions(Gatekeeper gatekeeper, MicroClock clock, Consumer<Action> carryOut, Logger log) {
         this.gatekeeper = gatekeeper;
         this.clock = clock;
         this.carryOut = carryOut;
         this.log = log;
     }
 
-    void tell(Event event) {
+    /** Tells an event, now or after what is being told. */
+    public void tell(Event event) {
         inbox.add(event);
         if (telling) {
             return;
--- a/src/main/java/fawndock/gateway/GatekeeperHost.java
+++ b/src/main/java/fawndock/host/GatekeeperHost.java
@@ -1,4 +1,4 @@
-package fawndock.gateway;
+package fawndock.host;
 
 import fawndock.Gatekeeper;
 import fawndock.Gatekeeper.Action;
@@ -12,7 +12,6 @@
 import fawndock.Gatekeeper.Note;
 import fawndock.Gatekeeper.Outcome;
 import fawndock.Gatekeeper.Probe;
-import fawndock.Gatekeeper.Probed;
 import fawndock.Gatekeeper.Refuse;
 import fawndock.Gatekeeper.Request;
 import fawndock.Gatekeeper.Result;
@@ -21,12 +20,9 @@
 import fawndock.Gatekeeper.Wake;
 import fawndock.Gatekeeper.WakeAfter;
 import fawndock.Gatekeeper.Watch;
-import fawndock.gateway.Exchange.Asked;
-import fawndock.gateway.OpenRequest.Stage;
-import io.vertx.core.MultiMap;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpHeaders;
-import io.vertx.core.http.RequestOptions;
+import fawndock.host.Answers.Verdict;
+import fawndock.host.Exchange.Asked;
+import fawndock.host.OpenRequest.Stage;
 import java.util.HashMap;
 import java.util.Map;
 import org.slf4j.Logger;
@@ -40,8 +36,8 @@
 public final class GatekeeperHost {
     private static final Logger LOG = LoggerFactory.getLogger(GatekeeperHost.class);
 
-    /** The counter service, the peers and the roster, as this host uses them. */
-    interface Links {
+    /** What a host reaches beside its clients: servers, counter service, fellows and discovery. */
+    public interface Links {
         /** Adds to a count; tells exactly one {@link Gatekeeper.Counted}, in a later turn, in order for each name. */
         void count(Count count);
 
@@ -52,42 +48,45 @@
 
         void fetch();
 
-        /** Where and how to send to a server, or null when nobody has told its address. */
-        RequestOptions target(String server);
+        /** Makes an attempt that is not started yet. */
+        OpenAttempt attempt(OpenRequest request, int number, String server);
+
+        /** Probes a server; tells exactly one {@link Gatekeeper.Probed}. */
+        void probe(String server);
     }
 
     private final MicroClock clock;
     private final Alarms alarms;
-    private final WorkerPools workers;
     private final Links links;
     private final int maxAttempts;
-    private final int answerLimit;
-    private final AnswerLog answerLog;
+    private final Answers answers;
     private final Map<Long, OpenRequest> requests = new HashMap<>();
     private Decisions decisions;
     private long nextId;
     private int open;
     private Runnable whenIdle;
 
-    GatekeeperHost(MicroClock clock, Alarms alarms, WorkerPools workers, Links links, int maxAttempts,
-                   int answerLimit, AnswerLog answerLog) {
+    /**
+     * A host that has no decisions yet.
+     *
+     * @param maxAttempts the most attempts of one request; more are never sent
+     */
+    public GatekeeperHost(MicroClock clock, Alarms alarms, Links links, int maxAttempts, Answers answers) {
         this.clock = clock;
         this.alarms = alarms;
-        this.workers = workers;
         this.links = links;
         this.maxAttempts = maxAttempts;
-        this.answerLimit = answerLimit;
-        this.answerLog = answerLog;
+        this.answers = answers;
         this.nextId = clock.now(); // Ids of an earlier life of this process are below.
     }
 
     /** Gives the decisions; to be called before anything is told. */
-    void decideBy(Gatekeeper decider) {
+    public void decideBy(Gatekeeper decider) {
         decisions = new Decisions(decider, clock, this::carryOut, LOG);
     }
 
     /** Takes on a client's request; the exchange is answered exactly once, or the client has left. */
-    long request(Exchange exchange) {
+    public long request(Exchange exchange) {
         Asked asked = exchange.asked();
         OpenRequest request = new OpenRequest(nextId++, exchange);
         requests.put(request.id, request);
@@ -101,19 +100,19 @@
     }
 
     /** The client of a request has left. */
-    void gone(long id) {
+    public void gone(long id) {
         OpenRequest request = requests.get(id);
         if (request == null || request.over()) {
             return;
         }
-        over(request, "gone", 0, "client left");
-        request.attempts.forEach(WorkerAttempt::leave);
+        over(request, Verdict.GONE, "client left");
+        request.attempts.forEach(OpenAttempt::leave);
         tell(new Gone(id));
         forget(request);
     }
 
     /** Tells the gatekeeper what happened and carries out what it says, now or after what is being told. */
-    void tell(Event event) {
+    public void tell(Event event) {
         decisions.tell(event);
     }
 
@@ -123,7 +122,7 @@
         } else if (action instanceof Refuse a) {
             OpenRequest request = requests.get(a.requestId());
             if (request != null && request.stage == Stage.OPEN) {
-                over(request, "refused", 429, reason(request));
+                over(request, Verdict.REFUSED, reason(request));
                 request.exchange.refuse(a.retryAfterMicros());
                 forget(request);
             }
@@ -140,7 +139,7 @@
                 request.attempts.get(a.attempt()).cancel();
             }
         } else if (action instanceof Probe a) {
-            probe(a.server());
+            links.probe(a.server());
         } else if (action instanceof Tell a) {
             links.tell(a);
         } else if (action instanceof Fetch) {
@@ -158,46 +157,37 @@
             LOG.error("attempt for request {}, which is not held", a.requestId());
             return;
         }
-        WorkerAttempt attempt = new WorkerAttempt(this, request, request.attempts.size(), a.server());
+        OpenAttempt attempt = links.attempt(request, request.attempts.size(), a.server());
         request.attempts.add(attempt);
         request.out++;
         Asked asked = request.exchange.asked();
-        RequestOptions target = links.target(a.server());
         long abandonAt = a.abandonAtMicros() <= 0 ? asked.giveUpAt() : Math.min(a.abandonAtMicros(), asked.giveUpAt());
-        if (request.stage != Stage.OPEN || target == null || attempt.number >= maxAttempts || abandonAt <= clock.now()) {
-            attempt.unused();
+        if (request.stage != Stage.OPEN || attempt.number >= maxAttempts || abandonAt <= clock.now()) {
+            attempt.end(Result.UNUSED);
             return;
         }
-        // The first attempt takes the fields as they are; another may be on its way with them.
-        MultiMap headers = attempt.number == 0 ? asked.headers() : HttpHeaders.headers().addAll(asked.headers());
-        headers.set("x-envoy-expected-rq-timeout-ms", Long.toString(Math.max(1, (abandonAt - clock.now()) / 1_000)));
-        if (!headers.contains("x-request-id")) {
-            headers.set("x-request-id", Long.toString(request.id));
-        }
-        headers.set("x-envoy-attempt-count", Integer.toString(attempt.number + 1));
-        target.setMethod(asked.method()).setURI(asked.uri()).setHeaders(headers);
-        attempt.start(target, abandonAt);
+        attempt.start(abandonAt);
     }
 
-    /** An attempt's whole answer has come; it is the client's when it is the first. */
-    void deliver(OpenRequest request, WorkerAttempt attempt, int status, MultiMap headers, Buffer body) {
+    /** An attempt's whole answer has come; it is the client's, passed on by what is given, when it is the first. */
+    public void deliver(OpenRequest request, OpenAttempt attempt, Runnable serve) {
         if (request.stage == Stage.OPEN) {
-            over(request, "served", status, attempt.server);
-            request.exchange.serve(status, headers, body);
+            over(request, Verdict.SERVED, attempt.server);
+            serve.run();
         }
     }
 
     /** A streamed answer begins. */
-    void begin(OpenRequest request, WorkerAttempt attempt) {
-        request.stage = Stage.STREAMING;
+    public void begin(OpenRequest request, OpenAttempt attempt) {
+        request.stream();
         alarms.cancel(request.backstop);
         tell(new Started(request.id, attempt.number, attempt.server));
     }
 
     /** A streamed answer has ended, whole or not. */
-    void streamed(OpenRequest request, WorkerAttempt attempt, boolean whole) {
+    public void streamed(OpenRequest request, OpenAttempt attempt, boolean whole) {
         if (request.stage == Stage.STREAMING) {
-            over(request, whole ? "served" : "failed", 0, whole ? attempt.server : "stream broke");
+            over(request, whole ? Verdict.SERVED : Verdict.FAILED, whole ? attempt.server : "stream broke");
             if (!whole) {
                 request.exchange.abort();
             }
@@ -205,10 +195,10 @@
     }
 
     /** An attempt ended. */
-    void ended(OpenRequest request, WorkerAttempt attempt, long tookMicros, LoadReport.Report report) {
+    void ended(OpenRequest request, OpenAttempt attempt, long tookMicros, Map<String, Double> load, double units) {
         request.out--;
-        tell(new Outcome(request.id, attempt.number, attempt.server, tookMicros, attempt.result, request.over(),
-                attempt.result == Result.OK ? report.units() : 0, report.load()));
+        tell(new Outcome(request.id, attempt.number, attempt.server, tookMicros, attempt.result(),
+                request.over(), attempt.result() == Result.OK ? units : 0, load));
         forget(request);
     }
 
@@ -216,13 +206,10 @@
         if (request == null || request.stage != Stage.OPEN) {
             return;
         }
-        WorkerAttempt last = request.attempts.isEmpty() ? null : request.attempts.get(request.attempts.size() - 1);
-        boolean answered = last != null && (last.result == Result.ERROR || last.result == Result.RESET
-                || last.result == Result.CONNECT_FAILED || last.result == Result.SHED);
-        int status = answered ? 502 : 504;
         String reason = reason(request);
-        over(request, "failed", status, reason);
-        request.exchange.fail(status, reason);
+        boolean answered = request.answered();
+        over(request, Verdict.FAILED, reason);
+        request.exchange.fail(answered, reason);
         forget(request);
     }
 
@@ -239,15 +226,15 @@
         if (request.attempts.isEmpty()) {
             return "not sent";
         }
-        WorkerAttempt last = request.attempts.get(request.attempts.size() - 1);
-        return last.result == null ? "no answer yet" : "last attempt " + last.result.name().toLowerCase(java.util.Locale.ROOT);
+        Result last = request.attempts.get(request.attempts.size() - 1).result();
+        return last == null ? "no answer yet" : "last attempt " + last.name().toLowerCase(java.util.Locale.ROOT);
     }
 
-    private void over(OpenRequest request, String verdict, int status, String reason) {
+    private void over(OpenRequest request, Verdict verdict, String reason) {
         request.stage = Stage.OVER;
         alarms.cancel(request.backstop);
         open--;
-        answerLog.answered(request, clock.now(), verdict, status, reason);
+        answers.answered(request, clock.now(), verdict, reason);
     }
 
     private void forget(OpenRequest request) {
@@ -257,45 +244,24 @@
         }
     }
 
-    private void probe(String server) {
-        long startedAt = clock.now();
-        RequestOptions target = links.target(server);
-        if (target == null) {
-            tell(new Probed(server, 0, Result.UNUSED, Map.of()));
-            return;
-        }
-        target.setURI("/healthz").setTimeout(1_000);
-        workers.request(target).compose(r -> r.send()).onComplete(done -> tell(new Probed(server,
-                clock.now() - startedAt, done.failed() ? Result.TIMEOUT : Ends.answered(done.result().statusCode()),
-                done.failed() ? Map.of() : LoadReport.parse(done.result().getHeader(LoadReport.HEADER)).load())));
-    }
-
     /** Requests without their final answer. */
-    int open() {
+    public int open() {
         return open;
     }
 
     /** Runs something once nothing is held any more: at once when that is so now. */
-    void whenIdle(Runnable what) {
+    public void whenIdle(Runnable what) {
         whenIdle = what;
         if (requests.isEmpty()) {
             what.run();
         }
     }
 
-    MicroClock clock() {
+    public MicroClock clock() {
         return clock;
     }
 
-    Alarms alarms() {
+    public Alarms alarms() {
         return alarms;
     }
-
-    WorkerPools workers() {
-        return workers;
-    }
-
-    int answerLimit() {
-        return answerLimit;
-    }
 }
--- a/src/main/java/fawndock/gateway/InOrder.java
+++ b/src/main/java/fawndock/host/InOrder.java
@@ -1,4 +1,4 @@
-package fawndock.gateway;
+package fawndock.host;
 
 import fawndock.Gatekeeper.Counted;
 import java.util.ArrayDeque;
@@ -7,17 +7,17 @@
 import java.util.function.Consumer;
 
 /** Tells the ends of counter calls, each once, those of a name in the order in which its calls were made. */
-final class InOrder {
+public final class InOrder {
     /** A call of a name that has its place among the others. */
-    static class Place {
+    public static class Place {
         private final String name;
         private Counted end;
 
-        Place(String name) {
+        protected Place(String name) {
             this.name = name;
         }
 
-        boolean ended() {
+        public boolean ended() {
             return end != null;
         }
     }
@@ -26,16 +26,18 @@
     private final Consumer<Counted> told;
     private boolean closed;
 
-    InOrder(Consumer<Counted> told) {
+    /** Ends are told to the consumer given. */
+    public InOrder(Consumer<Counted> told) {
         this.told = told;
     }
 
-    void begin(Place place) {
+    /** A call is made. */
+    public void begin(Place place) {
         lines.computeIfAbsent(place.name, name -> new ArrayDeque<>(2)).add(place);
     }
 
     /** A call that ends before an older one of its name, such as one that was never sent, waits for it. */
-    void end(Place place, Counted end) {
+    public void end(Place place, Counted end) {
         place.end = end;
         ArrayDeque<Place> line = lines.get(place.name);
         while (line != null && !line.isEmpty() && line.peek().ended()) {
@@ -50,7 +52,7 @@
     }
 
     /** Nobody is told any more. */
-    void close() {
+    public void close() {
         closed = true;
     }
 }
--- a/src/main/java/fawndock/gateway/MicroClock.java
+++ b/src/main/java/fawndock/host/MicroClock.java
@@ -1,4 +1,4 @@
-package fawndock.gateway;
+package fawndock.host;
 
 import java.time.Clock;
 import java.time.Instant;
@@ -9,23 +9,24 @@
  * this one goes on at half the speed of the monotonic clock until the wall clock has caught up: times stay in
  * order and waits still end. One thread at a time.
  */
-final class MicroClock {
+public final class MicroClock {
     private final LongSupplier wallMicros;
     private final LongSupplier nanos;
     private long last = Long.MIN_VALUE;
     private long lastNanos;
 
-    MicroClock() {
+    /** The system's clocks. */
+    public MicroClock() {
         this(MicroClock::systemMicros, System::nanoTime);
     }
 
-    MicroClock(LongSupplier wallMicros, LongSupplier nanos) {
+    public MicroClock(LongSupplier wallMicros, LongSupplier nanos) {
         this.wallMicros = wallMicros;
         this.nanos = nanos;
     }
 
     /** Microseconds since 1970, never less than what was told before. */
-    long now() {
+    public long now() {
         long wall = wallMicros.getAsLong();
         long mono = nanos.getAsLong();
         if (wall >= last) {
@@ -40,7 +41,7 @@
     }
 
     /** The system's wall clock in microseconds since 1970, unguarded. */
-    static long systemMicros() {
+    public static long systemMicros() {
         Instant now = Clock.systemUTC().instant();
         return now.getEpochSecond() * 1_000_000 + now.getNano() / 1_000;
     }
--- /dev/null
+++ b/src/main/java/fawndock/platform/AddGetCounter.java
@@ -0,0 +1,255 @@
+package fawndock.platform;
+
+import fawndock.Gatekeeper.Count;
+import fawndock.Gatekeeper.Counted;
+import fawndock.Gatekeeper.Result;
+import fawndock.host.Alarms;
+import fawndock.host.InOrder;
+import fawndock.host.MicroClock;
+import fawndock.resp.Reply;
+import fawndock.resp.ReplyReader;
+import fawndock.settings.Address;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import java.math.BigDecimal;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * The platform's counter: {@code ADDGET} on a few connections, pipelined, the calls of a name on one of them. A call is
+ * told exactly once, in the order of its name's calls: by its answer or its time-out. One that has timed out keeps its
+ * place among the answers of its connection, so that no total is given to another. One context.
+ */
+final class AddGetCounter {
+    /** Few: a spoilt answer ends all calls behind it, and each needs a descriptor. */
+    private static final int LINES = 4;
+    private static final int MOST_CALLS = 4_096;
+    /** Without any answer for so long, a connection with calls out is taken to be cut off. */
+    private static final long SILENT_MICROS = 2_000_000;
+    private static final long FIRST_PAUSE = 20_000;
+    private static final long LONGEST_PAUSE = 500_000;
+    private static final int LONGEST = 512;
+    private static final ReplyReader READER = new ReplyReader(LONGEST, LONGEST, 0);
+
+    /** A call that is out. */
+    private static final class Call extends InOrder.Place {
+        private final Count count;
+        private final long startedAt;
+        private boolean written;
+        private Alarms.Alarm timeOut;
+
+        Call(Count count, long startedAt) {
+            super(count.name());
+            this.count = count;
+            this.startedAt = startedAt;
+        }
+    }
+
+    /** One connection at a time, opened when it is needed. */
+    private final class Line {
+        private Wire wire;
+        private long pause = FIRST_PAUSE;
+        private long notBefore;
+    }
+
+    /** One connection; calls keep their meaning on it when the line has gone on to another. */
+    private final class Wire implements ReplyConnection.Owner {
+        private final Line line;
+        /** Calls in the order in which they go out, from the first that has no answer. */
+        private final ArrayDeque<Call> out = new ArrayDeque<>();
+        private final ReplyConnection connection;
+        private long heardAt;
+
+        Wire(Line line, NetClient client, Address at) {
+            this.line = line;
+            heardAt = clock.now();
+            connection = new ReplyConnection(client, ReplyConnection.socketAddress(at), READER, this);
+        }
+
+        void add(Call call) {
+            if (out.isEmpty()) {
+                heardAt = clock.now();
+            }
+            out.add(call);
+            if (connection.isUp()) {
+                send(call);
+            }
+        }
+
+        private void send(Call call) {
+            String name = call.count.name();
+            String amount = number(call.count.amount());
+            String life = Long.toString(Math.max(1, (call.count.keepMicros() + 999) / 1_000));
+            connection.write(Buffer.buffer("*4\r\n$6\r\nADDGET\r\n$" + name.length() + "\r\n" + name + "\r\n$"
+                    + amount.length() + "\r\n" + amount + "\r\n$" + life.length() + "\r\n" + life + "\r\n"),
+                    whole -> call.written |= whole);
+        }
+
+        @Override
+        public void up() {
+            line.pause = FIRST_PAUSE;
+            heardAt = clock.now();
+            out.removeIf(Call::ended); // Timed out before they were sent: nothing of them is to be added.
+            List.copyOf(out).forEach(this::send);
+        }
+
+        @Override
+        public void reply(Reply reply, boolean more) {
+            heardAt = clock.now();
+            Call call = out.poll();
+            if (call == null) {
+                closed(true);
+                connection.close();
+                return;
+            }
+            if (reply.isError()) {
+                end(call, Result.SHED, 0);
+            } else {
+                Double total = reply.isBulk() ? total(reply.text()) : null;
+                end(call, total == null ? Result.TIMEOUT : Result.OK, total == null ? 0 : total);
+                if (total == null) { // Spoilt: it was added, and the connection is of no further use.
+                    closed(true);
+                    connection.close();
+                }
+            }
+        }
+
+        @Override
+        public void spoilt(String why) {
+            closed(true);
+        }
+
+        @Override
+        public void closed(boolean wasUp) {
+            if (line.wire == this) {
+                line.wire = null;
+                line.notBefore = wasUp ? 0 : clock.now() + line.pause;
+                line.pause = wasUp ? FIRST_PAUSE : Math.min(LONGEST_PAUSE, 2 * line.pause);
+            }
+            for (Call call = out.poll(); call != null; call = out.poll()) {
+                end(call, call.written ? Result.TIMEOUT : Result.CONNECT_FAILED, 0);
+            }
+        }
+
+        /** Ends a connection on which nothing has been heard though calls are out. */
+        void check(long now) {
+            if (!out.isEmpty() && now - heardAt > SILENT_MICROS) {
+                connection.close();
+                closed(true);
+            }
+        }
+    }
+
+    private final NetClient client;
+    private final MicroClock clock;
+    private final Alarms alarms;
+    private final long waitMicros;
+    private final InOrder order;
+    private List<Line> lines = List.of();
+    private Address address;
+    private int calls;
+    private Alarms.Alarm next;
+
+    /**
+     * Connects when the first call comes.
+     *
+     * @param address null where there is no counter
+     * @param waitMicros after which a call has timed out
+     */
+    AddGetCounter(Vertx vertx, Address address, MicroClock clock, Alarms alarms, long connectMicros, long waitMicros,
+                  Consumer<Counted> told) {
+        this.clock = clock;
+        this.alarms = alarms;
+        this.waitMicros = waitMicros;
+        order = new InOrder(told);
+        client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
+                .setConnectTimeout((int) Math.max(1, connectMicros / 1_000)));
+        moveTo(address);
+        next = alarms.after(SILENT_MICROS / 4, this::check);
+    }
+
+    /** Calls go to this address from now on; those out keep their connection until they are answered. */
+    void moveTo(Address to) {
+        if (to == null || to.equals(address)) {
+            return;
+        }
+        address = to;
+        List<Line> made = new ArrayList<>();
+        for (int i = 0; i < LINES; i++) {
+            made.add(new Line());
+        }
+        lines = made;
+    }
+
+    void count(Count count) {
+        Call call = new Call(count, clock.now());
+        order.begin(call);
+        if (address == null || calls >= MOST_CALLS) {
+            end(call, Result.CONNECT_FAILED, 0);
+            return;
+        }
+        calls++;
+        Line line = lines.get(Math.floorMod(count.name().hashCode(), LINES));
+        if (line.wire == null && clock.now() >= line.notBefore) {
+            line.wire = new Wire(line, client, address);
+        }
+        if (line.wire == null) {
+            calls--;
+            end(call, Result.CONNECT_FAILED, 0);
+            return;
+        }
+        call.timeOut = alarms.after(waitMicros, () -> {
+            calls--;
+            call.timeOut = null;
+            end(call, call.written ? Result.TIMEOUT : Result.CONNECT_FAILED, 0);
+        });
+        line.wire.add(call);
+    }
+
+    private void end(Call call, Result result, double total) {
+        if (call.ended()) {
+            return;
+        }
+        if (call.timeOut != null) {
+            alarms.cancel(call.timeOut);
+            calls--;
+        }
+        order.end(call, new Counted(call.count.name(), result, total, clock.now() - call.startedAt));
+    }
+
+    private void check() {
+        long now = clock.now();
+        for (Line line : lines) {
+            if (line.wire != null) {
+                line.wire.check(now);
+            }
+        }
+        next = alarms.after(SILENT_MICROS / 4, this::check);
+    }
+
+    /** A decimal number without an exponent. */
+    static String number(double amount) {
+        return amount == Math.rint(amount) && Math.abs(amount) < 1e9 ? Long.toString((long) amount)
+                : BigDecimal.valueOf(amount).toPlainString();
+    }
+
+    private static Double total(String text) {
+        try {
+            double total = Double.parseDouble(text);
+            return Double.isFinite(total) && text.length() < 40 && "dDfF".indexOf(text.charAt(text.length() - 1)) < 0
+                    ? total : null;
+        } catch (NumberFormatException e) {
+            return null;
+        }
+    }
+
+    void close() {
+        order.close();
+        alarms.cancel(next);
+        client.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/fawndock/platform/ClientConnection.java
@@ -0,0 +1,215 @@
+package fawndock.platform;
+
+import fawndock.resp.CommandReader;
+import fawndock.resp.ProtocolException;
+import fawndock.resp.ReplyWriter;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.buffer.BufferInternal;
+import io.vertx.core.net.NetSocket;
+import java.util.ArrayDeque;
+
+/**
+ * One client's connection: commands in, answers out in their order. What cannot be read gets an error line in its turn,
+ * and nothing is read after it. One context.
+ */
+final class ClientConnection {
+    /** Commands that wait for their answers on one connection; more are told to be too many, and it ends. */
+    private static final int MOST_OPEN = 64;
+    private static final CommandReader.Limits LIMITS = new CommandReader.Limits(66 << 10, 8, 0);
+
+    /** One command's place among the answers. */
+    final class Place {
+        private ByteBuf answer;
+        private PlatformExchange exchange;
+        private long host = -1;
+
+        void answer(ByteBuf bytes) {
+            answer = bytes;
+            if (exchange != null) {
+                front.over(exchange);
+            }
+            flush();
+        }
+
+        void error(String line) {
+            ByteBuf out = Unpooled.buffer(line.length() + 4);
+            new ReplyWriter(out).error(line);
+            answer(out);
+        }
+    }
+
+    private final ClientFront front;
+    private final NetSocket socket;
+    private final CommandReader reader = new CommandReader(LIMITS);
+    private final ArrayDeque<Place> places = new ArrayDeque<>(2);
+    private ByteBuf input = Unpooled.EMPTY_BUFFER;
+    /** When it was opened, or last had all of its answers. */
+    private long quietSince;
+    /** When a command began of which the rest has not come; 0 for none. */
+    private long halfSince;
+    /** When it began not to read its answers; 0 while it does. */
+    private long fullSince;
+    /** When it was told that it cannot go on; 0 while it can. */
+    private long endingSince;
+    private boolean spoke;
+    private boolean flushing;
+    private boolean closed;
+
+    ClientConnection(ClientFront front, NetSocket socket) {
+        this.front = front;
+        this.socket = socket;
+        quietSince = front.now();
+        socket.handler(this::bytes);
+        socket.exceptionHandler(e -> { });
+        socket.closeHandler(v -> left());
+    }
+
+    private void bytes(Buffer part) {
+        if (closed || endingSince != 0) {
+            return; // Guards memory against what a client goes on to send after it was told.
+        }
+        byte[] got = part.getBytes();
+        input = input.isReadable() ? Unpooled.buffer(input.readableBytes() + got.length).writeBytes(input).writeBytes(got)
+                : Unpooled.wrappedBuffer(got);
+        boolean any = false;
+        flushing = true;
+        try {
+            for (byte[][] words = reader.next(input); words != null; words = reader.next(input)) {
+                any = true;
+                if (places.size() >= MOST_OPEN) {
+                    refuse("ERR too many commands at once");
+                    break;
+                }
+                command(words);
+                if (closed || endingSince != 0) {
+                    break;
+                }
+            }
+        } catch (ProtocolException e) {
+            refuse(e.getMessage());
+        }
+        flushing = false;
+        boolean half = endingSince == 0 && (reader.within() || input.isReadable());
+        halfSince = !half ? 0 : any || halfSince == 0 ? front.now() : halfSince;
+        flush();
+    }
+
+    private void command(byte[][] words) {
+        spoke = true;
+        Place place = new Place();
+        places.add(place);
+        if (ClientCommand.isOne(words[0])) {
+            try {
+                ClientCommand command = ClientCommand.read(words, front.now(), front.terms());
+                String unfit = front.unfit(command);
+                if (unfit != null) {
+                    place.error(unfit);
+                    return;
+                }
+                place.exchange = new PlatformExchange(command, place);
+                place.host = front.request(place.exchange);
+            } catch (ClientCommand.UnfitException e) {
+                place.error(e.getMessage());
+            }
+        } else if (words.length == 1 && ClientCommand.is(words[0], "PING")) {
+            place.answer(Unpooled.copiedBuffer("+PONG\r\n", java.nio.charset.StandardCharsets.US_ASCII));
+        } else {
+            place.error("ERR unknown command");
+        }
+    }
+
+    /** Tells that the connection cannot go on, after the answers before. */
+    private void refuse(String line) {
+        Place place = new Place();
+        places.add(place);
+        endingSince = front.now();
+        input = Unpooled.EMPTY_BUFFER;
+        place.error(line);
+    }
+
+    private void flush() {
+        if (flushing || closed) {
+            return;
+        }
+        ByteBuf out = null;
+        while (!places.isEmpty() && places.peek().answer != null) {
+            ByteBuf next = places.poll().answer;
+            out = out == null ? next : Unpooled.wrappedBuffer(out, next);
+        }
+        if (out != null) {
+            quietSince = front.now();
+            socket.write(BufferInternal.buffer(out));
+            if (socket.writeQueueFull() && fullSince == 0) {
+                fullSince = quietSince;
+                socket.pause();
+                socket.drainHandler(v -> {
+                    fullSince = 0;
+                    socket.resume();
+                });
+            }
+        }
+        if (places.isEmpty() && (endingSince != 0 || front.closing())) {
+            end();
+        }
+    }
+
+    /** Whether nothing is open on it and it has been so for the time given. */
+    boolean quiet(long now, long micros) {
+        return places.isEmpty() && !reader.within() && !input.isReadable() && now - quietSince >= micros;
+    }
+
+    boolean spoke() {
+        return spoke;
+    }
+
+    boolean busy() {
+        return !places.isEmpty();
+    }
+
+    /** Ends it when a limit of {@link ClientFront} is passed: silent, half a command, answers not read, told to go. */
+    void check(long now) {
+        boolean silent = !spoke && quiet(now, ClientFront.SILENT_MICROS);
+        boolean half = halfSince != 0 && now - halfSince >= ClientFront.SILENT_MICROS;
+        boolean full = fullSince != 0 && now - fullSince >= ClientFront.UNREAD_MICROS;
+        boolean told = endingSince != 0 && now - endingSince >= ClientFront.SILENT_MICROS;
+        if (silent || full || told || quiet(now, front.idleMicros())) {
+            end();
+        } else if (half && endingSince == 0) {
+            halfSince = 0;
+            refuse("ERR the command did not end");
+        }
+    }
+
+    /** Closes it when nothing is open on it. */
+    void endIfQuiet() {
+        if (places.isEmpty()) {
+            end();
+        }
+    }
+
+    /** Closes it after what was written. */
+    void end() {
+        if (!closed) {
+            socket.end();
+            left();
+        }
+    }
+
+    private void left() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        input = Unpooled.EMPTY_BUFFER;
+        front.left(this);
+        for (Place place : places) {
+            if (place.answer == null && place.host >= 0) {
+                front.over(place.exchange);
+                front.gone(place.host);
+            }
+        }
+        places.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/fawndock/platform/ClientFront.java
@@ -0,0 +1,168 @@
+package fawndock.platform;
+
+import fawndock.host.Alarms;
+import fawndock.host.GatekeeperHost;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * Where clients connect. Connections are bounded: when they are spent, one that never said anything makes room first,
+ * then the one that has had nothing open for longest; one with a request open never does. One context.
+ */
+final class ClientFront {
+    /** A connection that says nothing, stops within a command, or was told to go is closed after this. */
+    static final long SILENT_MICROS = 2_000_000;
+    /** One whose answers are not read is closed after this. */
+    static final long UNREAD_MICROS = 4_000_000;
+    private static final long IDLE_MICROS = 20_000_000;
+    /** Nothing open for this long, a connection may be closed without harm to its client. */
+    private static final long MAY_CLOSE_MICROS = 2_000_000;
+    private static final long CHECK_MICROS = 250_000;
+    private final Vertx vertx;
+    private final GatekeeperHost host;
+    private final ClientCommand.Terms terms;
+    private final int mostConnections;
+    private final int mostOpen;
+    private final long mostBytes;
+    private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private final Set<String> ids = new HashSet<>();
+    private NetServer server;
+    private long bytes;
+    private boolean closing;
+    private Alarms.Alarm next;
+
+    /**
+     * A front that does not listen yet.
+     *
+     * @param mostConnections at once
+     * @param mostOpen requests at once
+     * @param mostBytes of commands that are open, all together
+     */
+    ClientFront(Vertx vertx, GatekeeperHost host, ClientCommand.Terms terms, int mostConnections, int mostOpen,
+                long mostBytes) {
+        this.vertx = vertx;
+        this.host = host;
+        this.terms = terms;
+        this.mostConnections = mostConnections;
+        this.mostOpen = mostOpen;
+        this.mostBytes = mostBytes;
+    }
+
+    Future<?> listen(SocketAddress address) {
+        server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setAcceptBacklog(1_024)
+                .setReuseAddress(true)).connectHandler(this::accept);
+        next = host.alarms().after(CHECK_MICROS, this::check);
+        return server.listen(address);
+    }
+
+    private void accept(NetSocket socket) {
+        if (connections.size() >= mostConnections && !evict()) {
+            socket.close();
+            return;
+        }
+        connections.add(new ClientConnection(this, socket));
+    }
+
+    private boolean evict() {
+        ClientConnection idle = null;
+        for (ClientConnection each : connections) {
+            if (!each.spoke() && !each.busy()) {
+                each.end();
+                return true;
+            }
+            if (idle == null && each.quiet(now(), MAY_CLOSE_MICROS)) {
+                idle = each;
+            }
+        }
+        if (idle != null) {
+            idle.end();
+        }
+        return idle != null;
+    }
+
+    private void check() {
+        long now = now();
+        java.util.List.copyOf(connections).forEach(c -> c.check(now));
+        next = host.alarms().after(CHECK_MICROS, this::check);
+    }
+
+    /** How long a connection may have nothing open: shorter as they grow scarce. */
+    long idleMicros() {
+        return 2 * connections.size() > mostConnections ? MAY_CLOSE_MICROS : IDLE_MICROS;
+    }
+
+    /** Why a command cannot be given to the host, as an error line, or null. */
+    String unfit(ClientCommand command) {
+        if (ids.contains(command.id())) {
+            return "ERR the id is open already";
+        }
+        return ids.size() >= mostOpen || bytes + command.size() > mostBytes ? "BUSY" : null;
+    }
+
+    /** Gives a request to the host; returns the host's number. */
+    long request(PlatformExchange exchange) {
+        ids.add(exchange.command().id());
+        bytes += exchange.command().size();
+        return host.request(exchange);
+    }
+
+    /** A request has had its answer, or its client has left. */
+    void over(PlatformExchange exchange) {
+        if (ids.remove(exchange.command().id())) {
+            bytes -= exchange.command().size();
+        }
+    }
+
+    void gone(long id) {
+        host.gone(id);
+    }
+
+    void left(ClientConnection connection) {
+        connections.remove(connection);
+    }
+
+    /** Connections close from now on as soon as nothing is open on them; new ones are still taken. */
+    void closeQuiet() {
+        closing = true;
+        java.util.List.copyOf(connections).forEach(ClientConnection::endIfQuiet);
+    }
+
+    boolean closing() {
+        return closing;
+    }
+
+    Future<?> stopListening() {
+        return server == null ? Future.succeededFuture() : server.close();
+    }
+
+    void close() {
+        host.alarms().cancel(next);
+        java.util.List.copyOf(connections).forEach(ClientConnection::end);
+        if (server != null) {
+            server.close();
+        }
+    }
+
+    ClientCommand.Terms terms() {
+        return terms;
+    }
+
+    long now() {
+        return host.clock().now();
+    }
+
+    int connections() {
+        return connections.size();
+    }
+
+    int open() {
+        return ids.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/fawndock/platform/PlatformDaemon.java
@@ -0,0 +1,120 @@
+package fawndock.platform;
+
+import fawndock.Gatekeeper;
+import fawndock.Gatekeeper.Settings;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sun.misc.Signal;
+
+/** The process on the platform: start, new configurations on SIGHUP, stop on SIGTERM. */
+public final class PlatformDaemon {
+    private static final Logger LOG = LoggerFactory.getLogger(PlatformDaemon.class);
+    /** Connections keep coming for a while after SIGTERM, and clients keep using those that they have. */
+    private static final long QUIET_MICROS = 500_000;
+    private static final long LISTEN_MICROS = 800_000;
+    private static final long EXTRA_MICROS = 500_000;
+    private final Map<String, String> variables;
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private Vertx vertx;
+    private Context context;
+    private PlatformNode node;
+    private boolean stopping;
+    private long longestMicros;
+    private volatile int code;
+
+    /** A daemon that is not started; takes the platform's variables. */
+    public PlatformDaemon(Map<String, String> variables) {
+        this.variables = variables;
+    }
+
+    /** Serves until it is told to stop; returns the exit code: 0 after a stop, 1 could not listen, 2 unusable configuration. */
+    public int run(Function<Settings, Gatekeeper> maker) throws InterruptedException {
+        PlatformConfig config;
+        try {
+            config = PlatformConfig.read(variables);
+        } catch (PlatformConfig.UnusableException e) {
+            System.err.println(e.getMessage());
+            return 2;
+        }
+        longestMicros = config.settings().classes().stream().mapToLong(c -> c.deadlineMicros()).max().orElse(0);
+        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
+                .setBlockedThreadCheckInterval(3_600_000)
+                .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+        context = vertx.getOrCreateContext();
+        Signal.handle(new Signal("HUP"), s -> reload());
+        Signal.handle(new Signal("TERM"), s -> context.runOnContext(v -> stop()));
+        Signal.handle(new Signal("INT"), s -> context.runOnContext(v -> stop()));
+        context.runOnContext(v -> {
+            node = new PlatformNode(vertx, config, maker);
+            node.start().onFailure(e -> {
+                LOG.error("cannot listen on {}: {}", config.listen(), e.toString());
+                end(1);
+            });
+        });
+        ended.await();
+        return code;
+    }
+
+    /** Reads the file on the signal's own thread, whole or not at all; a damaged one changes nothing. */
+    private synchronized void reload() {
+        try {
+            PlatformConfig fresh = PlatformConfig.read(variables);
+            context.runOnContext(v -> {
+                if (node != null) {
+                    node.reload(fresh);
+                }
+            });
+        } catch (PlatformConfig.UnusableException e) {
+            LOG.error("the configuration stays as it was: {}", e.getMessage());
+        }
+    }
+
+    private void stop() {
+        if (stopping) {
+            return;
+        }
+        stopping = true;
+        if (node == null) {
+            end(0);
+            return;
+        }
+        LOG.info("stopping with {} requests open", node.host().open());
+        after(QUIET_MICROS, () -> node.front().closeQuiet());
+        after(LISTEN_MICROS, () -> node.front().stopListening().onComplete(v -> node.host().whenIdle(() -> end(0))));
+        after(LISTEN_MICROS + longestMicros + EXTRA_MICROS, () -> end(0));
+    }
+
+    private void after(long micros, Runnable what) {
+        vertx.setTimer(micros / 1_000, id -> what.run());
+    }
+
+    private void end(int with) {
+        if (ended.getCount() > 0) {
+            code = with;
+            // What was written last leaves with this turn of the loop; the process ends after it.
+            vertx.setTimer(20, id -> {
+                if (node != null) {
+                    node.close();
+                }
+                vertx.setTimer(20, again -> ended.countDown());
+            });
+        }
+    }
+
+    /** Closes what is left, within a second. */
+    public void close() throws InterruptedException {
+        if (vertx != null) {
+            CountDownLatch closed = new CountDownLatch(1);
+            vertx.close().onComplete(v -> closed.countDown());
+            closed.await(1, TimeUnit.SECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/fawndock/platform/PlatformNode.java
@@ -0,0 +1,167 @@
+package fawndock.platform;
+
+import fawndock.Gatekeeper;
+import fawndock.Gatekeeper.Availability;
+import fawndock.Gatekeeper.Count;
+import fawndock.Gatekeeper.Listing;
+import fawndock.Gatekeeper.Probed;
+import fawndock.Gatekeeper.Result;
+import fawndock.Gatekeeper.Servers;
+import fawndock.Gatekeeper.Settings;
+import fawndock.Gatekeeper.Tell;
+import fawndock.host.Alarms;
+import fawndock.host.Answers;
+import fawndock.host.GatekeeperHost;
+import fawndock.host.MicroClock;
+import fawndock.host.OpenAttempt;
+import fawndock.host.OpenRequest;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.Map;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One gatekeeper on the platform, with its sockets, on one event-loop context. */
+final class PlatformNode implements GatekeeperHost.Links {
+    private static final Logger LOG = LoggerFactory.getLogger(PlatformNode.class);
+    /** Shares of the descriptors; the rest is kept for the counter, the catalog, files and a reserve. */
+    private static final double CLIENTS = 0.42;
+    private static final double WORKERS = 0.38;
+    private static final long MOST_BYTES_SHARE = 16;
+    private static final long LIST_WAIT_MICROS = 3_000_000;
+    private static final long SWEEP_MICROS = 1_000_000;
+    /** Of the time after which a worker closes an idle connection; used up to then, it would end as a reset. */
+    private static final double IDLE_PART = 0.5;
+    private static final long IDLE_MICROS = 20_000_000;
+    private final Vertx vertx;
+    private final PlatformConfig config;
+    private final MicroClock clock = new MicroClock();
+    private final Alarms alarms;
+    private final GatekeeperHost host;
+    private final WorkerPools workers;
+    private final AddGetCounter counter;
+    private final ClientFront front;
+    private final Promise<Void> listed = Promise.promise();
+    private CatalogWatch catalog;
+    private fawndock.settings.Address discovery;
+
+    /** Made on the context that it belongs to. */
+    PlatformNode(Vertx vertx, PlatformConfig config, Function<Settings, Gatekeeper> maker) {
+        this.vertx = vertx;
+        this.config = config;
+        Settings settings = config.settings();
+        alarms = new Alarms(vertx);
+        host = new GatekeeperHost(clock, alarms, this, settings.limits().maxAttempts(), Answers.NONE);
+        host.decideBy(maker.apply(settings));
+        long idle = config.idleMicros() <= 0 ? IDLE_MICROS : (long) (IDLE_PART * config.idleMicros());
+        workers = new WorkerPools(vertx, clock::now, (int) (WORKERS * config.sockets()), config.connectMicros(), idle);
+        counter = new AddGetCounter(vertx, config.counter(), clock, alarms, config.connectMicros(),
+                settings.counter().waitMicros(), host::tell);
+        front = new ClientFront(vertx, host, new ClientCommand.Terms(config), (int) (CLIENTS * config.sockets()),
+                settings.limits().maxOpen(), config.memoryBytes() / MOST_BYTES_SHARE);
+        sweep();
+    }
+
+    /** Follows the catalog and listens as soon as the list of workers is known. */
+    Future<?> start() {
+        if (!config.known().servers().isEmpty()) {
+            take(config.known(), Listing.CACHED);
+            alarms.after(LIST_WAIT_MICROS, listed::tryComplete);
+        }
+        follow(config.discovery());
+        return listed.future().compose(v -> front.listen(ReplyConnection.socketAddress(config.listen())))
+                .onSuccess(v -> LOG.info("{} ({} of {}) listens on {}", config.name(), config.settings().me(),
+                        config.settings().gatekeepers(), config.listen()));
+    }
+
+    private void follow(fawndock.settings.Address address) {
+        CatalogWatch before = catalog;
+        discovery = address;
+        boolean[] heard = new boolean[1];
+        catalog = new CatalogWatch(vertx, address, alarms, list -> {
+            if (!heard[0] && before != null) {
+                before.close(); // Not sooner: until the new one speaks, what the old one tells counts.
+            }
+            heard[0] = true;
+            take(list, list.whole() ? Listing.COMPLETE : Listing.CHANGES);
+            listed.tryComplete();
+        });
+        catalog.start();
+    }
+
+    private void take(CatalogList list, Listing listing) {
+        if (listing == Listing.COMPLETE) {
+            workers.keep(list.addresses().keySet());
+        }
+        list.servers().forEach(s -> {
+            if (s.availability() == Availability.DELETED) {
+                workers.forget(s.id());
+            } else if (list.addresses().containsKey(s.id())) {
+                workers.address(s.id(), list.addresses().get(s.id()));
+            }
+        });
+        host.tell(new Servers(listing, list.servers()));
+    }
+
+    /** Takes up the addresses of a new configuration; the decisions keep what they know. */
+    void reload(PlatformConfig fresh) {
+        counter.moveTo(fresh.counter());
+        if (!fresh.discovery().equals(discovery)) {
+            follow(fresh.discovery());
+        }
+        LOG.info("new configuration: discovery {}, counter {}", fresh.discovery(), fresh.counter());
+    }
+
+    ClientFront front() {
+        return front;
+    }
+
+    GatekeeperHost host() {
+        return host;
+    }
+
+    private void sweep() {
+        workers.sweep();
+        alarms.after(SWEEP_MICROS, this::sweep);
+    }
+
+    void close() {
+        front.close();
+        counter.close();
+        workers.close();
+        catalog.close();
+        alarms.close();
+    }
+
+    @Override
+    public void count(Count count) {
+        counter.count(count);
+    }
+
+    @Override
+    public void tell(Tell tell) {
+        LOG.debug("the platform carries no messages between gatekeepers");
+    }
+
+    @Override
+    public void watch() {
+        catalog.start();
+    }
+
+    @Override
+    public void fetch() {
+        catalog.start();
+    }
+
+    @Override
+    public OpenAttempt attempt(OpenRequest request, int number, String server) {
+        return new WorkerCall(host, request, number, server, workers);
+    }
+
+    @Override
+    public void probe(String server) {
+        host.tell(new Probed(server, 0, Result.UNUSED, Map.of()));
+    }
+}
--- /dev/null
+++ b/src/main/java/fawndock/platform/WorkerPools.java
@@ -0,0 +1,232 @@
+package fawndock.platform;
+
+import fawndock.resp.Reply;
+import fawndock.resp.ReplyReader;
+import fawndock.settings.Address;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+/**
+ * Connections to the workers, a pool for each worker by its id. A connection carries one attempt at a time. All of them
+ * together are bounded; when they are spent the one that has been idle longest, of any worker, makes room. One context.
+ */
+final class WorkerPools {
+    /**
+     * A connection rests so long before it is used again. Guards against a second copy of an answer right behind it
+     * being taken for the next one's; may open a connection more when attempts come closer together.
+     */
+    private static final long REST_MICROS = 3_000;
+    private static final int LONGEST_VALUE = 64 << 10;
+    private static final int LONGEST_LINE = 1_024;
+    private static final int PARTS = 8;
+    private static final ReplyReader READER = new ReplyReader(LONGEST_VALUE, LONGEST_LINE, PARTS);
+
+    /** Idle connections of one worker, the longest idle first. */
+    private static final class Pool {
+        final SocketAddress address;
+        final ArrayDeque<Lease> idle = new ArrayDeque<>(4);
+
+        Pool(SocketAddress address) {
+            this.address = address;
+        }
+    }
+
+    /** One connection, leased to an attempt or idle. */
+    final class Lease implements ReplyConnection.Owner {
+        private final Pool pool;
+        private final ReplyConnection connection;
+        private WorkerCall call;
+        private long idleSince;
+
+        private Lease(Pool pool, WorkerCall call) {
+            this.pool = pool;
+            this.call = call;
+            open++;
+            connection = new ReplyConnection(client, pool.address, READER, this);
+        }
+
+        ReplyConnection connection() {
+            return connection;
+        }
+
+        @Override
+        public void up() {
+            if (!call.connected(this)) {
+                rest(); // Its attempt has ended meanwhile; the connection is as good as any.
+            }
+        }
+
+        @Override
+        public void reply(Reply reply, boolean more) {
+            if (call == null) {
+                abandon(); // Nothing was asked: a late second copy, or noise.
+                return;
+            }
+            WorkerCall of = call;
+            call = null;
+            // Before it is told: what is sent on hearing of it may want the connection.
+            WorkerAnswer answer = WorkerAnswer.of(reply);
+            if (more || !answer.sound()) {
+                abandon();
+            } else {
+                rest();
+            }
+            of.replied(answer);
+        }
+
+        @Override
+        public void spoilt(String why) {
+            gone();
+            if (call != null) {
+                call.spoilt();
+            }
+        }
+
+        @Override
+        public void closed(boolean wasUp) {
+            gone();
+            if (call != null && wasUp) {
+                call.broken();
+            } else if (call != null) {
+                call.unconnected();
+            }
+        }
+
+        private void rest() {
+            call = null;
+            if (pools.containsValue(pool)) {
+                idleSince = now.getAsLong();
+                pool.idle.add(this);
+            } else {
+                abandon();
+            }
+        }
+
+        private void gone() {
+            pool.idle.remove(this);
+            open--;
+        }
+
+        /** Ends the connection. */
+        void abandon() {
+            gone();
+            connection.close();
+        }
+    }
+
+    private final NetClient client;
+    private final LongSupplier now;
+    private final int most;
+    private final long idleMicros;
+    private final Map<String, Pool> pools = new HashMap<>();
+    private int open;
+    private long refused;
+
+    /**
+     * No connection is open yet.
+     *
+     * @param now microseconds
+     * @param most connections in all
+     * @param idleMicros after which an idle one is closed
+     */
+    WorkerPools(Vertx vertx, LongSupplier now, int most, long connectMicros, long idleMicros) {
+        this.client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
+                .setConnectTimeout((int) Math.max(1, connectMicros / 1_000)));
+        this.now = now;
+        this.most = most;
+        this.idleMicros = idleMicros;
+    }
+
+    /** Where a worker listens now; connections to another address of it are given up when they are idle. */
+    void address(String server, Address address) {
+        SocketAddress at = ReplyConnection.socketAddress(address);
+        Pool pool = pools.get(server);
+        if (pool == null || !pool.address.equals(at)) {
+            forget(server);
+            pools.put(server, new Pool(at));
+        }
+    }
+
+    /** A worker is gone: its idle connections end now, those in use with their attempt. */
+    void forget(String server) {
+        Pool pool = pools.remove(server);
+        while (pool != null && !pool.idle.isEmpty()) {
+            pool.idle.peek().abandon();
+        }
+    }
+
+    /** Forgets all workers but these. */
+    void keep(java.util.Set<String> servers) {
+        java.util.List.copyOf(pools.keySet()).stream().filter(s -> !servers.contains(s)).forEach(this::forget);
+    }
+
+    /** Gives a call a connection, now or when one is up, or tells it that there is none. */
+    void lease(String server, WorkerCall call) {
+        Pool pool = pools.get(server);
+        if (pool == null) {
+            call.unknown();
+            return;
+        }
+        long rested = now.getAsLong() - REST_MICROS;
+        for (Iterator<Lease> i = pool.idle.descendingIterator(); i.hasNext();) {
+            Lease lease = i.next();
+            if (lease.idleSince <= rested) {
+                i.remove();
+                lease.call = call;
+                call.connected(lease);
+                return;
+            }
+        }
+        if (open >= most && !evict()) {
+            refused++;
+            call.unconnected();
+            return;
+        }
+        new Lease(pool, call);
+    }
+
+    private boolean evict() {
+        Lease oldest = null;
+        for (Pool pool : pools.values()) {
+            Lease first = pool.idle.peek();
+            if (first != null && (oldest == null || first.idleSince < oldest.idleSince)) {
+                oldest = first;
+            }
+        }
+        if (oldest != null) {
+            oldest.abandon();
+        }
+        return oldest != null;
+    }
+
+    /** Closes what has been idle for long; to be called every second or so. */
+    void sweep() {
+        long since = now.getAsLong() - idleMicros;
+        for (Pool pool : pools.values()) {
+            while (!pool.idle.isEmpty() && pool.idle.peek().idleSince < since) {
+                pool.idle.peek().abandon();
+            }
+        }
+    }
+
+    int open() {
+        return open;
+    }
+
+    /** Attempts that got no connection since all were in use. */
+    long refused() {
+        return refused;
+    }
+
+    void close() {
+        java.util.List.copyOf(pools.keySet()).forEach(this::forget);
+        client.close();
+    }
+}
--- a/src/main/java/fawndock/counter/RespReader.java
+++ b/src/main/java/fawndock/resp/CommandReader.java
@@ -1,4 +1,4 @@
-package fawndock.counter;
+package fawndock.resp;
 
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
@@ -9,33 +9,42 @@
  * Takes commands off a stream: arrays of bulk strings, or inline words. It goes on where it stood, so that a command
  * that comes byte by byte is not read again from its start, and holds no more of a command than the limit.
  */
-final class RespReader {
-    /** What comes is no command; the connection cannot go on. */
-    static final class ProtocolException extends Exception {
-        private static final long serialVersionUID = 1L;
-
-        ProtocolException(String told) {
-            super("ERR Protocol error: " + told, null, false, false);
-        }
+public final class CommandReader {
+    /**
+     * What is taken of one command; more is no command, and the connection cannot go on.
+     *
+     * @param longest bytes of all words
+     * @param mostWords words of a command
+     * @param longestInline bytes of a command on one line; 0 where there are none, nor empty arrays
+     */
+    public record Limits(int longest, int mostWords, int longestInline) {
+        /** What a server that people type to takes. */
+        public static final Limits SERVER = new Limits(512 << 10, 16_384, 64 << 10);
     }
 
-    static final int LONGEST_COMMAND = 512 << 10;
-    static final int MOST_WORDS = 16_384;
-    private static final int LONGEST_INLINE = 64 << 10;
+    private final Limits limits;
     private static final int LONGEST_NUMBER = 32;
     private byte[][] words;
     private int have;
     private int bulk = -1;
     private int bytes;
 
+    /** A reader within limits. */
+    public CommandReader(Limits limits) {
+        this.limits = limits;
+    }
+
     /** The next whole command, or null when more must come first. */
-    byte[][] next(ByteBuf in) throws ProtocolException {
+    public byte[][] next(ByteBuf in) throws ProtocolException {
         while (words == null) {
             if (!in.isReadable()) {
                 return null;
             }
             if (in.getByte(in.readerIndex()) != '*') {
-                int end = line(in, LONGEST_INLINE, "too big inline request");
+                if (limits.longestInline == 0) {
+                    throw new ProtocolException("expected '*'");
+                }
+                int end = line(in, limits.longestInline, "too big inline request");
                 if (end < 0) {
                     return null;
                 }
@@ -45,10 +54,13 @@
                 }
                 continue;
             }
-            long many = number(in, "invalid multibulk length", MOST_WORDS);
+            long many = number(in, "invalid multibulk length", limits.mostWords);
             if (many == Long.MIN_VALUE) {
                 return null;
             }
+            if (many <= 0 && limits.longestInline == 0) {
+                throw new ProtocolException("invalid multibulk length");
+            }
             if (many > 0) {
                 words = new byte[(int) many][];
                 have = 0;
@@ -64,7 +76,7 @@
                     throw new ProtocolException("expected '$', got '" + (char) in.getByte(in.readerIndex()) + "'");
                 }
                 // Guards against a length that would have memory set aside for what never comes.
-                long length = number(in, "invalid bulk length", LONGEST_COMMAND - bytes);
+                long length = number(in, "invalid bulk length", limits.longest - bytes);
                 if (length == Long.MIN_VALUE) {
                     return null;
                 }
@@ -78,7 +90,11 @@
                 return null;
             }
             byte[] word = new byte[bulk];
-            in.readBytes(word).skipBytes(2);
+            in.readBytes(word);
+            // Guards against a length that is wrong: the rest of the word would be read as the next one.
+            if (in.readByte() != '\r' || in.readByte() != '\n') {
+                throw new ProtocolException("expected the end of a bulk string");
+            }
             words[have++] = word;
             bulk = -1;
         }
@@ -88,7 +104,7 @@
     }
 
     /** Whether a command has begun and not ended. */
-    boolean within() {
+    public boolean within() {
         return words != null;
     }
 
--- a/src/main/java/fawndock/counter/Replies.java
+++ b/src/main/java/fawndock/resp/ReplyWriter.java
@@ -1,18 +1,20 @@
-package fawndock.counter;
+package fawndock.resp;
 
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
 
 /** Writes answers in the protocol's version 2 or 3. */
-final class Replies {
+public final class ReplyWriter {
     private final ByteBuf to;
-    int version = 2;
+    /** 2 or 3. */
+    public int version = 2;
 
-    Replies(ByteBuf to) {
+    /** Writes to the end of the buffer. */
+    public ReplyWriter(ByteBuf to) {
         this.to = to;
     }
 
-    private Replies head(char type, long number) {
+    private ReplyWriter head(char type, long number) {
         to.writeByte(type);
         digits(number);
         to.writeByte('\r').writeByte('\n');
@@ -34,45 +36,45 @@
         to.writeByte('\r').writeByte('\n');
     }
 
-    void simple(String text) {
+    public void simple(String text) {
         line('+', text);
     }
 
-    void ok() {
+    public void ok() {
         simple("OK");
     }
 
-    void error(String text) {
+    public void error(String text) {
         line('-', text);
     }
 
-    void integer(long number) {
+    public void integer(long number) {
         head(':', number);
     }
 
-    void flag(boolean is) {
+    public void flag(boolean is) {
         integer(is ? 1 : 0);
     }
 
-    void bulk(byte[] bytes) {
+    public void bulk(byte[] bytes) {
         head('$', bytes.length);
         to.writeBytes(bytes).writeByte('\r').writeByte('\n');
     }
 
-    void bulk(String text) {
+    public void bulk(String text) {
         bulk(text.getBytes(StandardCharsets.UTF_8));
     }
 
-    void nil() {
+    public void nil() {
         to.writeCharSequence(version == 3 ? "_\r\n" : "$-1\r\n", StandardCharsets.US_ASCII);
     }
 
-    void array(int elements) {
+    public void array(int elements) {
         head('*', elements);
     }
 
     /** Begins a map of so many pairs; version 2 has an array of twice as many. */
-    void map(int pairs) {
+    public void map(int pairs) {
         head(version == 3 ? '%' : '*', version == 3 ? pairs : 2L * pairs);
     }
 }
--- a/src/main/java/fawndock/benchlink/Json.java
+++ b/src/main/java/fawndock/wire/Json.java
@@ -1,4 +1,4 @@
-package fawndock.benchlink;
+package fawndock.wire;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -10,44 +10,44 @@
 import java.util.Map;
 
 /** Reads one JSON value into maps, lists and plain values, and takes fields from them. */
-final class Json {
+public final class Json {
     private static final JsonFactory FACTORY = new JsonFactory();
 
     /** One JSON object. */
-    record Obj(Map<String, Object> fields) {
-        String text(String key) {
+    public record Obj(Map<String, Object> fields) {
+        public String text(String key) {
             return required(key, String.class);
         }
 
-        String textOr(String key, String other) {
+        public String textOr(String key, String other) {
             return has(key) ? required(key, String.class) : other;
         }
 
-        long integer(String key) {
+        public long integer(String key) {
             return required(key, Number.class).longValue();
         }
 
-        long integerOr(String key, long other) {
+        public long integerOr(String key, long other) {
             return has(key) ? integer(key) : other;
         }
 
-        double numberOr(String key, double other) {
+        public double numberOr(String key, double other) {
             return has(key) ? required(key, Number.class).doubleValue() : other;
         }
 
-        boolean flag(String key) {
+        public boolean flag(String key) {
             return has(key) && required(key, Boolean.class);
         }
 
-        Obj object(String key) {
+        public Obj object(String key) {
             return required(key, Obj.class);
         }
 
-        Obj objectOr(String key) {
+        public Obj objectOr(String key) {
             return has(key) ? object(key) : new Obj(Map.of());
         }
 
-        List<Obj> objects(String key) {
+        public List<Obj> objects(String key) {
             List<Obj> found = new ArrayList<>();
             for (Object each : required(key, List.class)) {
                 if (!(each instanceof Obj obj)) {
@@ -58,15 +58,16 @@
             return found;
         }
 
-        List<Obj> objectsOr(String key) {
+        public List<Obj> objectsOr(String key) {
             return has(key) ? objects(key) : List.of();
         }
 
-        Map<String, Object> all() {
+        public Map<String, Object> all() {
             return fields;
         }
 
-        private boolean has(String key) {
+        /** Whether there is a value under this key. */
+        public boolean has(String key) {
             return fields.get(key) != null;
         }
 
@@ -86,7 +87,7 @@
     }
 
     /** Reads a line that holds exactly one object. */
-    static Obj parse(String line) throws IOException {
+    public static Obj parse(String line) throws IOException {
         try (JsonParser parser = FACTORY.createParser(line)) {
             parser.nextToken();
             Object value = value(parser);
--- a/src/main/java/fawndock/benchlink/WireException.java
+++ b/src/main/java/fawndock/wire/WireException.java
@@ -1,10 +1,11 @@
-package fawndock.benchlink;
+package fawndock.wire;
 
 /** What came in is not what the wire allows; the message says what is wrong. */
-final class WireException extends RuntimeException {
+public final class WireException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    WireException(String message) {
+    /** What is wrong, for a person. */
+    public WireException(String message) {
         super(message);
     }
 }
--- a/src/test/java/fawndock/counter/ProtocolTest.java
+++ b/src/test/java/fawndock/counter/ProtocolTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import fawndock.resp.CommandReader;
+import fawndock.resp.ProtocolException;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
@@ -19,7 +21,7 @@
 class ProtocolTest {
     /** However a stream of commands is cut, the same commands come out. */
     @Property(tries = 300, seed = "15")
-    void cutsDoNotMatter(@ForAll long seed) throws RespReader.ProtocolException {
+    void cutsDoNotMatter(@ForAll long seed) throws ProtocolException {
         SplittableRandom random = new SplittableRandom(seed);
         List<String> sent = new ArrayList<>();
         StringBuilder stream = new StringBuilder();
@@ -32,7 +34,7 @@
             stream.append('*').append(words.size()).append("\r\n");
             words.forEach(w -> stream.append('$').append(w.length()).append("\r\n").append(w).append("\r\n"));
         }
-        RespReader reader = new RespReader();
+        CommandReader reader = new CommandReader(CommandReader.Limits.SERVER);
         ByteBuf in = Unpooled.buffer();
         List<String> got = new ArrayList<>();
         byte[] all = stream.toString().getBytes(StandardCharsets.ISO_8859_1);
@@ -47,12 +49,12 @@
         assertEquals(sent, got);
     }
 
-    private static byte[][] read(String text) throws RespReader.ProtocolException {
-        return new RespReader().next(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    private static byte[][] read(String text) throws ProtocolException {
+        return new CommandReader(CommandReader.Limits.SERVER).next(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
     }
 
     @Example
-    void inlineCommandsHaveQuotes() throws RespReader.ProtocolException {
+    void inlineCommandsHaveQuotes() throws ProtocolException {
         assertArrayEquals(new String[] {"SET", "a b", "", "1"}, Arrays.stream(read("\r\n SET 'a b' \"\"  1\r\n"))
                 .map(w -> new String(w, StandardCharsets.ISO_8859_1)).toArray());
         assertNull(read("PING"));
@@ -65,7 +67,7 @@
                 {"*1\r\n$-1\r\n", "invalid bulk length"}, {"*1\r\n$999999999999\r\n", "invalid bulk length"},
                 {"*" + "1".repeat(40), "invalid multibulk length"}, {"x".repeat(70_000), "too big inline request"},
                 {"GET \"a\r\n", "unbalanced quotes in request"}}) {
-            assertEquals("ERR Protocol error: " + each[1], assertThrows(RespReader.ProtocolException.class,
+            assertEquals("ERR Protocol error: " + each[1], assertThrows(ProtocolException.class,
                     () -> read(each[0])).getMessage());
         }
     }
--- a/src/test/java/fawndock/gateway/CounterLinkTest.java
+++ b/src/test/java/fawndock/gateway/CounterLinkTest.java
@@ -9,6 +9,8 @@
 import fawndock.counter.CounterServer;
 import fawndock.counter.FileDisk;
 import fawndock.counter.core.GroupCommit;
+import fawndock.host.Alarms;
+import fawndock.host.MicroClock;
 import fawndock.settings.Address;
 import fawndock.settings.CounterSettings;
 import fawndock.settings.DaemonSettings;
--- a/src/test/java/fawndock/gateway/FrontTest.java
+++ b/src/test/java/fawndock/gateway/FrontTest.java
@@ -10,6 +10,7 @@
 import fawndock.Gatekeeper.Outcome;
 import fawndock.Gatekeeper.Refuse;
 import fawndock.Gatekeeper.Request;
+import fawndock.host.MicroClock;
 import fawndock.standin.CounterStandIn;
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpClientOptions;
--- a/src/test/java/fawndock/gateway/PartsTest.java
+++ b/src/test/java/fawndock/gateway/PartsTest.java
@@ -6,6 +6,8 @@
 
 import fawndock.Gatekeeper.Message;
 import fawndock.Gatekeeper.Tell;
+import fawndock.host.Alarms;
+import fawndock.host.MicroClock;
 import fawndock.settings.Address;
 import fawndock.settings.DaemonSettings.Peers;
 import io.vertx.core.MultiMap;
