--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -825,14 +825,16 @@
         ServerState s = t.server;
         double took = (double) e.tookMicros() / type.info.aimMicros();
         switch (e.result()) {
-            case OK, ERROR -> {
+            case OK -> {
                 s.failures = s.ejections = 0;
                 learn(s, took);
                 type.latency += SLOW_GAIN / 4 * (e.tookMicros() - type.latency);
                 adapt(took, t.outBefore);
             }
-            case TIMEOUT, RESET, CONNECT_FAILED -> {
-                learn(s, Math.max(took, s.latency));
+            // An error is worth no more than an answer that comes late. Guards against a server that fails
+            // fast and, looking quick, draws the traffic. May spare a good one whose requests are at fault.
+            case ERROR, TIMEOUT, RESET, CONNECT_FAILED -> {
+                learn(s, Math.max(e.result() == Result.ERROR ? Math.max(1, took) : took, s.latency));
                 s.failures++;
                 if (s.failures >= FAILURES) {
                     long time = FIRST_EJECTION << Math.min(s.ejections++, 8);
@@ -970,7 +972,10 @@
         }
     }
 
-    private Held find(String id) { return id.matches("[0-9]{1,18}") ? held.get(Long.parseLong(id)) : null; }
+    private Held find(String id) {
+        boolean number = !id.isEmpty() && id.charAt(0) <= '9' && id.length() < 19;
+        return number ? held.get(Long.parseLong(id)) : null;
+    }
 
     private void end(Held q) {
         close(q);
--- a/src/main/java/fawndock/Main.java
+++ b/src/main/java/fawndock/Main.java
@@ -16,6 +16,9 @@
         if (args.length == 1 && args[0].equals("benchlink")) {
             System.exit(new BenchLink().run(System.in, System.out, System.err));
         }
+        if (args.length == 1 && args[0].equals("platform")) {
+            System.exit(fawndock.cli.PlatformCommand.run()); // Without the other commands: they cost a fifth of a start.
+        }
         int code = fawndock.cli.Commands.run(args);
         if (code >= 0) {
             System.exit(code);
--- a/src/main/java/fawndock/cli/DrillCommand.java
+++ b/src/main/java/fawndock/cli/DrillCommand.java
@@ -7,6 +7,7 @@
 import fawndock.drill.DayDrill;
 import fawndock.drill.DayFile;
 import fawndock.drill.LargeFleet;
+import fawndock.drill.PlatformDrill;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 
@@ -14,7 +15,8 @@
 @Command(name = "drill", mixinStandardHelpOptions = true, description = "Plays troubles and judges the rules.",
         subcommands = {DrillCommand.BadDayDrill.class, DrillCommand.Day.class,
             DrillCommand.ChaosDrill.class, DrillCommand.CounterCrashDrill.class,
-            DrillCommand.CounterSplitDrill.class, DrillCommand.LargeFleetDrill.class})
+            DrillCommand.CounterSplitDrill.class, DrillCommand.LargeFleetDrill.class,
+            DrillCommand.PlatformWayIn.class})
 final class DrillCommand extends Group {
     /** Three gatekeepers through overlapping troubles. */
     @Command(name = "bad-day", mixinStandardHelpOptions = true,
@@ -143,4 +145,18 @@
             return new LargeFleet(seconds, seed, System.out).run() ? 0 : 1;
         }
     }
+
+    /** One gatekeeper of the platform's way in. */
+    @Command(name = "platform", mixinStandardHelpOptions = true,
+            description = "One gatekeeper of the platform's way in among stand-ins, in this process.")
+    static final class PlatformWayIn implements Callable<Integer> {
+        @picocli.CommandLine.Option(names = "--requests", defaultValue = "600", description = "from 20 to 100000")
+        private int requests;
+
+        @Override
+        public Integer call() throws Exception {
+            Logs.quiet();
+            return new PlatformDrill(Math.max(20, Math.min(100_000, requests)), System.out).run() ? 0 : 1;
+        }
+    }
 }
--- a/src/main/java/fawndock/cli/PlatformCommand.java
+++ b/src/main/java/fawndock/cli/PlatformCommand.java
@@ -11,13 +11,22 @@
         description = "Runs one gatekeeper on the platform, as RELAY_CONFIG says. SIGHUP reads it anew, SIGTERM stops.",
         exitCodeListHeading = "Exit codes:%n", exitCodeList = {"0:stopped by SIGTERM after answering what was open",
             "1:could not listen", "2:a configuration that cannot be used"})
-final class PlatformCommand implements Callable<Integer> {
+public final class PlatformCommand implements Callable<Integer> {
     @Override
-    public Integer call() throws Exception {
+    public Integer call() {
+        return run();
+    }
+
+    /** Serves until it is told to stop; returns the exit code. */
+    public static int run() {
         Logs.to(new DaemonSettings.Log(false, "info"));
         PlatformDaemon daemon = new PlatformDaemon(System.getenv());
-        int code = daemon.run(Logic::new);
-        Logs.flush();
-        return code;
+        try {
+            return daemon.run(Logic::new);
+        } catch (InterruptedException e) {
+            return 1;
+        } finally {
+            Logs.flush();
+        }
     }
 }
--- a/src/main/java/fawndock/gateway/GatekeeperNode.java
+++ b/src/main/java/fawndock/gateway/GatekeeperNode.java
@@ -69,7 +69,8 @@
         alarms = new Alarms(vertx);
         AnswerLog answerLog = new AnswerLog(me, true);
         workers = new WorkerPools(vertx, settings);
-        host = new GatekeeperHost(clock, alarms, this, settings.limits().maxAttempts(), answerLog);
+        host = new GatekeeperHost(clock, alarms, this, settings.limits().maxAttempts(), clock.now(),
+                answerLog);
         host.decideBy(maker.apply(new Settings(me, settings.fleet(), settings.seed() + me, ROUND_MICROS,
                 settings.zone(), settings.roster().mustAsk(), settings.classes(), settings.plans(),
                 settings.limits(), settings.rules(), new Counter(!settings.counter().none(),
--- a/src/main/java/fawndock/gateway/WarmUp.java
+++ b/src/main/java/fawndock/gateway/WarmUp.java
@@ -60,7 +60,7 @@
         Alarms alarms = new Alarms(vertx);
         pools = new WorkerPools(vertx, own);
         AnswerLog silent = new AnswerLog(-1, false);
-        host = new GatekeeperHost(new MicroClock(), alarms, this, 1, silent);
+        host = new GatekeeperHost(new MicroClock(), alarms, this, 1, 1, silent);
         host.decideBy(maker.apply(new Settings(0, 1, 1, 5_000, own.zone(), false, own.classes(), own.plans(),
                 own.limits(), own.rules(), new Counter(false, 50_000, false))));
         HttpServer worker = vertx.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(true))
--- a/src/main/java/fawndock/host/Alarms.java
+++ b/src/main/java/fawndock/host/Alarms.java
@@ -109,7 +109,7 @@
             ringing = false;
             if (pending > 0) {
                 long tick = rung + 1;
-                while (heads[(int) (tick % SLOTS)] == null && tick < rung + SLOTS) {
+                while (!live((int) (tick % SLOTS)) && tick < rung + SLOTS) {
                     tick++;
                 }
                 arm(tick);
@@ -117,6 +117,14 @@
         }
     }
 
+    /** Whether a slot holds an alarm that is to ring; drops those cancelled that stand before it. */
+    private boolean live(int slot) {
+        while (heads[slot] != null && heads[slot].what == null) {
+            heads[slot] = heads[slot].next;
+        }
+        return heads[slot] != null;
+    }
+
     private void ring(int slot, long now) {
         Alarm alarm = heads[slot];
         heads[slot] = null;
--- a/src/main/java/fawndock/host/GatekeeperHost.java
+++ b/src/main/java/fawndock/host/GatekeeperHost.java
@@ -70,14 +70,16 @@
      * A host that has no decisions yet.
      *
      * @param maxAttempts the most attempts of one request; more are never sent
+     * @param firstId of the requests: where servers are told it, above those of an earlier life of this process
      */
-    public GatekeeperHost(MicroClock clock, Alarms alarms, Links links, int maxAttempts, Answers answers) {
+    public GatekeeperHost(MicroClock clock, Alarms alarms, Links links, int maxAttempts, long firstId,
+                          Answers answers) {
         this.clock = clock;
         this.alarms = alarms;
         this.links = links;
         this.maxAttempts = maxAttempts;
         this.answers = answers;
-        this.nextId = clock.now(); // Ids of an earlier life of this process are below.
+        this.nextId = firstId;
     }
 
     /** Gives the decisions; to be called before anything is told. */
--- a/src/main/java/fawndock/platform/AddGetCounter.java
+++ b/src/main/java/fawndock/platform/AddGetCounter.java
@@ -9,11 +9,9 @@
 import fawndock.resp.Reply;
 import fawndock.resp.ReplyReader;
 import fawndock.settings.Address;
-import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.net.NetClient;
-import io.vertx.core.net.NetClientOptions;
+import io.netty.buffer.Unpooled;
 import java.math.BigDecimal;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -51,23 +49,23 @@
 
     /** One connection at a time, opened when it is needed. */
     private final class Line {
-        private Wire wire;
+        private Connection wire;
         private long pause = FIRST_PAUSE;
         private long notBefore;
     }
 
     /** One connection; calls keep their meaning on it when the line has gone on to another. */
-    private final class Wire implements ReplyConnection.Owner {
+    private final class Connection implements ReplyConnection.Owner {
         private final Line line;
         /** Calls in the order in which they go out, from the first that has no answer. */
         private final ArrayDeque<Call> out = new ArrayDeque<>();
         private final ReplyConnection connection;
         private long heardAt;
 
-        Wire(Line line, NetClient client, Address at) {
+        Connection(Line line, Address at) {
             this.line = line;
             heardAt = clock.now();
-            connection = new ReplyConnection(client, ReplyConnection.socketAddress(at), READER, this);
+            connection = new ReplyConnection(sockets, at, connectMicros, READER, this);
         }
 
         void add(Call call) {
@@ -84,8 +82,9 @@
             String name = call.count.name();
             String amount = number(call.count.amount());
             String life = Long.toString(Math.max(1, (call.count.keepMicros() + 999) / 1_000));
-            connection.write(Buffer.buffer("*4\r\n$6\r\nADDGET\r\n$" + name.length() + "\r\n" + name + "\r\n$"
-                    + amount.length() + "\r\n" + amount + "\r\n$" + life.length() + "\r\n" + life + "\r\n"),
+            connection.write(Unpooled.copiedBuffer("*4\r\n$6\r\nADDGET\r\n$" + name.length() + "\r\n" + name + "\r\n$"
+                    + amount.length() + "\r\n" + amount + "\r\n$" + life.length() + "\r\n" + life + "\r\n",
+                    StandardCharsets.US_ASCII),
                     whole -> call.written |= whole);
         }
 
@@ -144,11 +143,13 @@
         }
     }
 
-    private final NetClient client;
+    private final Sockets sockets;
     private final MicroClock clock;
     private final Alarms alarms;
+    private final long connectMicros;
     private final long waitMicros;
     private final InOrder order;
+    private final Figures figures;
     private List<Line> lines = List.of();
     private Address address;
     private int calls;
@@ -160,14 +161,15 @@
      * @param address null where there is no counter
      * @param waitMicros after which a call has timed out
      */
-    AddGetCounter(Vertx vertx, Address address, MicroClock clock, Alarms alarms, long connectMicros, long waitMicros,
-                  Consumer<Counted> told) {
+    AddGetCounter(Sockets sockets, Address address, MicroClock clock, Alarms alarms, Figures figures, long connectMicros,
+                  long waitMicros, Consumer<Counted> told) {
         this.clock = clock;
         this.alarms = alarms;
+        this.figures = figures;
         this.waitMicros = waitMicros;
         order = new InOrder(told);
-        client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
-                .setConnectTimeout((int) Math.max(1, connectMicros / 1_000)));
+        this.sockets = sockets;
+        this.connectMicros = connectMicros;
         moveTo(address);
         next = alarms.after(SILENT_MICROS / 4, this::check);
     }
@@ -195,7 +197,7 @@
         calls++;
         Line line = lines.get(Math.floorMod(count.name().hashCode(), LINES));
         if (line.wire == null && clock.now() >= line.notBefore) {
-            line.wire = new Wire(line, client, address);
+            line.wire = new Connection(line, address);
         }
         if (line.wire == null) {
             calls--;
@@ -218,7 +220,9 @@
             alarms.cancel(call.timeOut);
             calls--;
         }
-        order.end(call, new Counted(call.count.name(), result, total, clock.now() - call.startedAt));
+        long took = clock.now() - call.startedAt;
+        figures.call(result, took);
+        order.end(call, new Counted(call.count.name(), result, total, took));
     }
 
     private void check() {
@@ -250,6 +254,5 @@
     void close() {
         order.close();
         alarms.cancel(next);
-        client.close();
     }
 }
--- a/src/main/java/fawndock/platform/CatalogWatch.java
+++ b/src/main/java/fawndock/platform/CatalogWatch.java
@@ -1,17 +1,23 @@
 package fawndock.platform;
 
+import fawndock.host.Alarms;
 import fawndock.settings.Address;
 import fawndock.wire.Json;
 import fawndock.wire.WireException;
-import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
-import fawndock.host.Alarms;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
@@ -20,7 +26,8 @@
 
 /**
  * Follows the catalog at one address: the whole list, then the changes after it, for as long as it lives. A watch on
- * which nothing comes, not even an empty line, is dead and is made again from the version last seen. One context.
+ * which nothing comes, not even an empty line, is dead and is made again from the version last seen. Netty's HTTP/1.1
+ * codec: Vert.x's own HTTP client alone costs a quarter of the program's start. One context.
  */
 final class CatalogWatch {
     private static final Logger LOG = LoggerFactory.getLogger(CatalogWatch.class);
@@ -31,24 +38,109 @@
     private static final long FIRST_PAUSE = 50_000;
     private static final long LONGEST_PAUSE = 1_000_000;
     private static final int LONGEST_LINE = 4 << 20;
-    private final HttpClient client;
+    private static final long CONNECT_MICROS = 1_000_000;
+    private final Sockets sockets;
     private final Alarms alarms;
     private final Address address;
     private final Consumer<CatalogList> told;
-    private Buffer line = Buffer.buffer();
-    private HttpClientRequest request;
+    private Asking asking;
     private Alarms.Alarm limit;
     private long index = -1;
     private long pause = FIRST_PAUSE;
-    private int generation;
     private boolean closed;
 
-    CatalogWatch(Vertx vertx, Address address, Alarms alarms, Consumer<CatalogList> told) {
+    /** Made for one address; it asks nothing yet. */
+    CatalogWatch(Sockets sockets, Address address, Alarms alarms, Consumer<CatalogList> told) {
         this.alarms = alarms;
         this.address = address;
         this.told = told;
-        client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(1_000).setTcpNoDelay(true)
-                .setKeepAlive(false).setMaxChunkSize(64 << 10));
+        this.sockets = sockets;
+    }
+
+    /** One exchange over a connection of its own. */
+    private final class Asking extends ChannelInboundHandlerAdapter {
+        private final boolean whole = index < 0;
+        private final String uri = whole ? PATH : PATH + "?stream=1&index=" + index;
+        private final ByteBuf line = Unpooled.buffer(256);
+        private ChannelHandlerContext context;
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext handler) {
+            context = handler;
+            handler.pipeline().addBefore(handler.name(), "http", new HttpClientCodec());
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext handler) {
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
+            request.headers().set(HttpHeaderNames.HOST, address.toString());
+            handler.writeAndFlush(request);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext handler) {
+            again(this, "closed");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext handler, Throwable cause) {
+            again(this, cause.toString());
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            try {
+                if (asking != this) {
+                    return;
+                }
+                if (((HttpObject) message).decoderResult().isFailure()) {
+                    again(this, "an answer that is not HTTP");
+                    return;
+                }
+                alive(this, whole ? ANSWER_MICROS : DEAD_MICROS);
+                if (message instanceof HttpResponse head && head.status().code() != 200) {
+                    again(this, "status " + head.status().code());
+                } else if (message instanceof HttpContent content) {
+                    content(content.content(), message instanceof LastHttpContent);
+                }
+            } finally {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        private void content(ByteBuf part, boolean last) {
+            while (part.isReadable() && asking == this) {
+                int end = whole ? -1 : part.bytesBefore((byte) '\n');
+                line.writeBytes(part, end < 0 ? part.readableBytes() : end);
+                if (end >= 0) {
+                    part.skipBytes(1);
+                    ended();
+                }
+            }
+            if (line.readableBytes() > LONGEST_LINE) {
+                again(this, "a line of more than " + LONGEST_LINE + " bytes");
+            }
+            if (last && asking == this) {
+                if (whole && ended()) {
+                    ask();
+                } else {
+                    again(this, "ended");
+                }
+            }
+        }
+
+        /** A line is whole, or the whole list is. */
+        private boolean ended() {
+            String text = line.toString(StandardCharsets.UTF_8);
+            line.clear();
+            return !text.isBlank() && take(text);
+        }
+
+        void end() {
+            if (context != null) {
+                context.close();
+            }
+        }
     }
 
     /** Asks for the whole list, and then for what changes. Told again, begins anew. */
@@ -58,103 +150,56 @@
     }
 
     private void ask() {
-        int mine = ++generation;
-        boolean whole = index < 0;
-        alarms.cancel(limit);
-        limit = alarms.after(ANSWER_MICROS, () -> again(mine, "no answer"));
-        HttpClientRequest before = request;
-        request = null;
+        if (closed) {
+            return;
+        }
+        Asking before = asking;
+        Asking mine = new Asking();
+        asking = mine;
         if (before != null) {
-            before.reset();
+            before.end();
         }
-        line = Buffer.buffer();
-        client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(address.host()).setPort(address.port())
-                .setURI(whole ? PATH : PATH + "?stream=1&index=" + index)).compose(made -> {
-                    if (mine == generation) {
-                        request = made;
-                    }
-                    return made.send();
-                }).onComplete(answer -> {
-                    if (mine != generation || closed) {
-                        return;
-                    }
-                    if (answer.failed() || answer.result().statusCode() != 200) {
-                        again(mine, answer.failed() ? answer.cause().toString() : "status " + answer.result().statusCode());
-                    } else {
-                        read(mine, whole, answer.result());
-                    }
-                });
-    }
-
-    private void read(int mine, boolean whole, HttpClientResponse answer) {
-        alive(mine, whole);
-        answer.exceptionHandler(e -> again(mine, e.toString()));
-        answer.handler(part -> {
-            if (mine == generation) {
-                alive(mine, whole);
-                lines(mine, part, whole);
-            }
-        });
-        answer.endHandler(end -> {
-            if (mine != generation) {
-                return;
-            }
-            if (whole && take(line)) {
-                pause = FIRST_PAUSE;
-                ask();
-            } else {
-                again(mine, "ended");
+        alive(mine, ANSWER_MICROS);
+        sockets.connect(address, CONNECT_MICROS, mine).addListener(made -> {
+            if (!made.isSuccess()) {
+                again(mine, "no connection");
+            } else if (asking != mine) {
+                mine.end();
             }
         });
     }
 
-    private void alive(int mine, boolean whole) {
+    private void alive(Asking mine, long micros) {
         alarms.cancel(limit);
-        limit = alarms.after(whole ? ANSWER_MICROS : DEAD_MICROS, () -> again(mine, "silent"));
-    }
-
-    private void lines(int mine, Buffer part, boolean whole) {
-        int from = 0;
-        for (int i = 0; i < part.length() && !whole; i++) {
-            if (part.getByte(i) == '\n') {
-                Buffer ended = line.appendBuffer(part.slice(from, i));
-                line = Buffer.buffer();
-                from = i + 1;
-                if (!ended.toString(StandardCharsets.UTF_8).isBlank() && take(ended)) {
-                    pause = FIRST_PAUSE;
-                }
-            }
-        }
-        line.appendBuffer(part.slice(from, part.length()));
-        if (line.length() > LONGEST_LINE) {
-            again(mine, "a line of more than " + LONGEST_LINE + " bytes");
-        }
+        limit = alarms.after(micros, () -> again(mine, "silent"));
     }
 
     /** Takes in a list; one that cannot be read is reported, and the whole list is asked for anew. */
-    private boolean take(Buffer text) {
+    private boolean take(String text) {
         try {
-            CatalogList list = CatalogList.of(Json.parse(text.toString(StandardCharsets.UTF_8)));
+            CatalogList list = CatalogList.of(Json.parse(text));
             if (list.whole() && list.servers().isEmpty()) {
                 LOG.warn("catalog {}: an empty list, the last one stays", address);
                 return false;
             }
             index = Math.max(0, list.index());
+            pause = FIRST_PAUSE;
             told.accept(list);
             return true;
-        } catch (IOException | WireException | NumberFormatException e) {
+        } catch (IOException | WireException e) {
             LOG.warn("catalog {}: a list that cannot be read: {}", address, e.getMessage());
             index = -1;
-            again(generation, "unreadable");
+            again(asking, "unreadable");
             return false;
         }
     }
 
-    private void again(int mine, String why) {
-        if (mine != generation || closed) {
+    private void again(Asking mine, String why) {
+        if (mine != asking || mine == null || closed) {
             return;
         }
-        generation++;
+        asking = null;
+        mine.end();
         alarms.cancel(limit);
         LOG.info("catalog {}: {}, asking again in {} ms", address, why, pause / 1_000);
         limit = alarms.after(pause, this::ask);
@@ -163,8 +208,10 @@
 
     void close() {
         closed = true;
-        generation++;
         alarms.cancel(limit);
-        client.close();
+        if (asking != null) {
+            asking.end();
+            asking = null;
+        }
     }
 }
--- a/src/main/java/fawndock/platform/ClientCommand.java
+++ b/src/main/java/fawndock/platform/ClientCommand.java
@@ -6,7 +6,6 @@
 import fawndock.host.Exchange.Asked;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
@@ -149,7 +148,7 @@
     }
 
     /** The command as a worker gets it, with the time that it has. */
-    Buffer toWorker(long leftMillis) {
+    ByteBuf toWorker(long leftMillis) {
         int at = fields.startsWith("d=") ? 2 : fields.indexOf(",d=") + 3;
         int to = fields.indexOf(',', at);
         byte[] list = (fields.substring(0, at) + leftMillis + (to < 0 ? "" : fields.substring(to)))
@@ -161,7 +160,7 @@
             line(out, '$', word.length);
             out.writeBytes(word).writeByte('\r').writeByte('\n');
         }
-        return io.vertx.core.internal.buffer.BufferInternal.buffer(out);
+        return out;
     }
 
     private static void line(ByteBuf out, char type, int number) {
--- a/src/main/java/fawndock/platform/ClientConnection.java
+++ b/src/main/java/fawndock/platform/ClientConnection.java
@@ -5,16 +5,14 @@
 import fawndock.resp.ReplyWriter;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.internal.buffer.BufferInternal;
-import io.vertx.core.net.NetSocket;
+import io.netty.channel.ChannelHandlerContext;
 import java.util.ArrayDeque;
 
 /**
  * One client's connection: commands in, answers out in their order. What cannot be read gets an error line in its turn,
  * and nothing is read after it. One context.
  */
-final class ClientConnection {
+final class ClientConnection extends Wire {
     /** Commands that wait for their answers on one connection; more are told to be too many, and it ends. */
     private static final int MOST_OPEN = 64;
     private static final CommandReader.Limits LIMITS = new CommandReader.Limits(66 << 10, 8, 0);
@@ -41,10 +39,8 @@
     }
 
     private final ClientFront front;
-    private final NetSocket socket;
     private final CommandReader reader = new CommandReader(LIMITS);
     private final ArrayDeque<Place> places = new ArrayDeque<>(2);
-    private ByteBuf input = Unpooled.EMPTY_BUFFER;
     /** When it was opened, or last had all of its answers. */
     private long quietSince;
     /** When a command began of which the rest has not come; 0 for none. */
@@ -55,47 +51,48 @@
     private long endingSince;
     private boolean spoke;
     private boolean flushing;
-    private boolean closed;
+    private boolean left;
 
-    ClientConnection(ClientFront front, NetSocket socket) {
+    ClientConnection(ClientFront front) {
         this.front = front;
-        this.socket = socket;
         quietSince = front.now();
-        socket.handler(this::bytes);
-        socket.exceptionHandler(e -> { });
-        socket.closeHandler(v -> left());
     }
 
-    private void bytes(Buffer part) {
-        if (closed || endingSince != 0) {
-            return; // Guards memory against what a client goes on to send after it was told.
-        }
-        byte[] got = part.getBytes();
-        input = input.isReadable() ? Unpooled.buffer(input.readableBytes() + got.length).writeBytes(input).writeBytes(got)
-                : Unpooled.wrappedBuffer(got);
+    @Override
+    public void channelActive(ChannelHandlerContext handler) {
+        front.accepted(this);
+    }
+
+    @Override
+    void bytes(ByteBuf in) {
         boolean any = false;
         flushing = true;
         try {
-            for (byte[][] words = reader.next(input); words != null; words = reader.next(input)) {
+            // After it was told that it cannot go on, nothing is read: guards memory against what it still sends.
+            for (byte[][] words = next(in); words != null; words = next(in)) {
                 any = true;
                 if (places.size() >= MOST_OPEN) {
                     refuse("ERR too many commands at once");
-                    break;
-                }
-                command(words);
-                if (closed || endingSince != 0) {
-                    break;
+                } else {
+                    command(words);
                 }
             }
         } catch (ProtocolException e) {
             refuse(e.getMessage());
         }
         flushing = false;
-        boolean half = endingSince == 0 && (reader.within() || input.isReadable());
+        if (endingSince != 0) {
+            in.skipBytes(in.readableBytes());
+        }
+        boolean half = reader.within() || in.isReadable();
         halfSince = !half ? 0 : any || halfSince == 0 ? front.now() : halfSince;
         flush();
     }
 
+    private byte[][] next(ByteBuf in) throws ProtocolException {
+        return endingSince != 0 || isOver() ? null : reader.next(in);
+    }
+
     private void command(byte[][] words) {
         spoke = true;
         Place place = new Place();
@@ -125,12 +122,12 @@
         Place place = new Place();
         places.add(place);
         endingSince = front.now();
-        input = Unpooled.EMPTY_BUFFER;
+        halfSince = 0;
         place.error(line);
     }
 
     private void flush() {
-        if (flushing || closed) {
+        if (flushing || isOver()) {
             return;
         }
         ByteBuf out = null;
@@ -140,24 +137,20 @@
         }
         if (out != null) {
             quietSince = front.now();
-            socket.write(BufferInternal.buffer(out));
-            if (socket.writeQueueFull() && fullSince == 0) {
+            send(out);
+            if (!writable() && fullSince == 0) {
                 fullSince = quietSince;
-                socket.pause();
-                socket.drainHandler(v -> {
-                    fullSince = 0;
-                    socket.resume();
-                });
+                reading(false);
             }
         }
-        if (places.isEmpty() && (endingSince != 0 || front.closing())) {
+        if (places.isEmpty() && (endingSince != 0 || front.closing() && halfSince == 0)) {
             end();
         }
     }
 
     /** Whether nothing is open on it and it has been so for the time given. */
     boolean quiet(long now, long micros) {
-        return places.isEmpty() && !reader.within() && !input.isReadable() && now - quietSince >= micros;
+        return places.isEmpty() && halfSince == 0 && now - quietSince >= micros;
     }
 
     boolean spoke() {
@@ -182,27 +175,34 @@
         }
     }
 
-    /** Closes it when nothing is open on it. */
+    /** Closes it when nothing is open on it, not even half a command. */
     void endIfQuiet() {
-        if (places.isEmpty()) {
+        if (places.isEmpty() && halfSince == 0) {
             end();
         }
     }
 
     /** Closes it after what was written. */
     void end() {
-        if (!closed) {
-            socket.end();
-            left();
+        close();
+        ended();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext handler) {
+        if (fullSince != 0 && writable()) {
+            fullSince = 0;
+            reading(true);
         }
+        handler.fireChannelWritabilityChanged();
     }
 
-    private void left() {
-        if (closed) {
+    @Override
+    void ended() {
+        if (left) {
             return;
         }
-        closed = true;
-        input = Unpooled.EMPTY_BUFFER;
+        left = true;
         front.left(this);
         for (Place place : places) {
             if (place.answer == null && place.host >= 0) {
--- a/src/main/java/fawndock/platform/ClientFront.java
+++ b/src/main/java/fawndock/platform/ClientFront.java
@@ -2,12 +2,9 @@
 
 import fawndock.host.Alarms;
 import fawndock.host.GatekeeperHost;
-import io.vertx.core.Future;
-import io.vertx.core.Vertx;
-import io.vertx.core.net.NetServer;
-import io.vertx.core.net.NetServerOptions;
-import io.vertx.core.net.NetSocket;
-import io.vertx.core.net.SocketAddress;
+import fawndock.settings.Address;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -25,7 +22,7 @@
     /** Nothing open for this long, a connection may be closed without harm to its client. */
     private static final long MAY_CLOSE_MICROS = 2_000_000;
     private static final long CHECK_MICROS = 250_000;
-    private final Vertx vertx;
+    private final Sockets sockets;
     private final GatekeeperHost host;
     private final ClientCommand.Terms terms;
     private final int mostConnections;
@@ -33,7 +30,7 @@
     private final long mostBytes;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final Set<String> ids = new HashSet<>();
-    private NetServer server;
+    private Channel server;
     private long bytes;
     private boolean closing;
     private Alarms.Alarm next;
@@ -45,9 +42,9 @@
      * @param mostOpen requests at once
      * @param mostBytes of commands that are open, all together
      */
-    ClientFront(Vertx vertx, GatekeeperHost host, ClientCommand.Terms terms, int mostConnections, int mostOpen,
+    ClientFront(Sockets sockets, GatekeeperHost host, ClientCommand.Terms terms, int mostConnections, int mostOpen,
                 long mostBytes) {
-        this.vertx = vertx;
+        this.sockets = sockets;
         this.host = host;
         this.terms = terms;
         this.mostConnections = mostConnections;
@@ -55,19 +52,20 @@
         this.mostBytes = mostBytes;
     }
 
-    Future<?> listen(SocketAddress address) {
-        server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setAcceptBacklog(1_024)
-                .setReuseAddress(true)).connectHandler(this::accept);
+    /** Listens; the future fails when that cannot be. */
+    ChannelFuture listen(Address address) {
         next = host.alarms().after(CHECK_MICROS, this::check);
-        return server.listen(address);
+        ChannelFuture bound = sockets.listen(address, () -> new ClientConnection(this));
+        server = bound.channel();
+        return bound;
     }
 
-    private void accept(NetSocket socket) {
+    void accepted(ClientConnection connection) {
         if (connections.size() >= mostConnections && !evict()) {
-            socket.close();
-            return;
+            connection.close();
+        } else {
+            connections.add(connection);
         }
-        connections.add(new ClientConnection(this, socket));
     }
 
     private boolean evict() {
@@ -138,16 +136,16 @@
         return closing;
     }
 
-    Future<?> stopListening() {
-        return server == null ? Future.succeededFuture() : server.close();
+    void stopListening() {
+        if (server != null) {
+            server.close();
+        }
     }
 
     void close() {
         host.alarms().cancel(next);
         java.util.List.copyOf(connections).forEach(ClientConnection::end);
-        if (server != null) {
-            server.close();
-        }
+        stopListening();
     }
 
     ClientCommand.Terms terms() {
--- a/src/main/java/fawndock/platform/PlatformDaemon.java
+++ b/src/main/java/fawndock/platform/PlatformDaemon.java
@@ -22,9 +22,10 @@
     private static final long LISTEN_MICROS = 800_000;
     private static final long EXTRA_MICROS = 500_000;
     private final Map<String, String> variables;
+    private final CountDownLatch ready = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
     private Vertx vertx;
-    private Context context;
+    private volatile Context context;
     private PlatformNode node;
     private boolean stopping;
     private long longestMicros;
@@ -50,21 +51,24 @@
                 .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
         context = vertx.getOrCreateContext();
         Signal.handle(new Signal("HUP"), s -> reload());
-        Signal.handle(new Signal("TERM"), s -> context.runOnContext(v -> stop()));
-        Signal.handle(new Signal("INT"), s -> context.runOnContext(v -> stop()));
+        Signal.handle(new Signal("TERM"), s -> stop());
+        Signal.handle(new Signal("INT"), s -> stop());
         context.runOnContext(v -> {
-            node = new PlatformNode(vertx, config, maker);
-            node.start().onFailure(e -> {
+            new Rehearsal(vertx, config, maker).run().compose(rehearsed -> {
+                node = new PlatformNode(vertx, config, maker);
+                return node.start();
+            }).onSuccess(listens -> ready.countDown()).onFailure(e -> {
                 LOG.error("cannot listen on {}: {}", config.listen(), e.toString());
                 end(1);
             });
         });
         ended.await();
+        close();
         return code;
     }
 
-    /** Reads the file on the signal's own thread, whole or not at all; a damaged one changes nothing. */
-    private synchronized void reload() {
+    /** Reads the file on the thread that calls, whole or not at all; a damaged one changes nothing. */
+    public synchronized void reload() {
         try {
             PlatformConfig fresh = PlatformConfig.read(variables);
             context.runOnContext(v -> {
@@ -77,7 +81,20 @@
         }
     }
 
-    private void stop() {
+    /** Answers what is open, takes what still comes for a moment, and ends {@link #run}. From any thread. */
+    public void stop() {
+        if (ended.getCount() == 0) {
+            return;
+        }
+        context.runOnContext(v -> drain());
+    }
+
+    /** Whether it listens, waiting so long for it. */
+    public boolean awaitReady(long time, TimeUnit unit) throws InterruptedException {
+        return ready.await(time, unit);
+    }
+
+    private void drain() {
         if (stopping) {
             return;
         }
@@ -88,7 +105,10 @@
         }
         LOG.info("stopping with {} requests open", node.host().open());
         after(QUIET_MICROS, () -> node.front().closeQuiet());
-        after(LISTEN_MICROS, () -> node.front().stopListening().onComplete(v -> node.host().whenIdle(() -> end(0))));
+        after(LISTEN_MICROS, () -> {
+            node.front().stopListening();
+            node.host().whenIdle(() -> end(0));
+        });
         after(LISTEN_MICROS + longestMicros + EXTRA_MICROS, () -> end(0));
     }
 
@@ -110,11 +130,9 @@
     }
 
     /** Closes what is left, within a second. */
-    public void close() throws InterruptedException {
-        if (vertx != null) {
-            CountDownLatch closed = new CountDownLatch(1);
-            vertx.close().onComplete(v -> closed.countDown());
-            closed.await(1, TimeUnit.SECONDS);
-        }
+    private void close() throws InterruptedException {
+        CountDownLatch closed = new CountDownLatch(1);
+        vertx.close().onComplete(v -> closed.countDown());
+        closed.await(1, TimeUnit.SECONDS);
     }
 }
--- a/src/main/java/fawndock/platform/PlatformNode.java
+++ b/src/main/java/fawndock/platform/PlatformNode.java
@@ -15,6 +15,7 @@
 import fawndock.host.MicroClock;
 import fawndock.host.OpenAttempt;
 import fawndock.host.OpenRequest;
+import io.netty.channel.ChannelFuture;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -27,39 +28,42 @@
 final class PlatformNode implements GatekeeperHost.Links {
     private static final Logger LOG = LoggerFactory.getLogger(PlatformNode.class);
     /** Shares of the descriptors; the rest is kept for the counter, the catalog, files and a reserve. */
-    private static final double CLIENTS = 0.42;
-    private static final double WORKERS = 0.38;
+    private static final double CLIENTS = 0.45;
+    private static final double WORKERS = 0.32;
     private static final long MOST_BYTES_SHARE = 16;
     private static final long LIST_WAIT_MICROS = 3_000_000;
+    private static final long REPORT_MICROS = 5_000_000;
     private static final long SWEEP_MICROS = 1_000_000;
     /** Of the time after which a worker closes an idle connection; used up to then, it would end as a reset. */
     private static final double IDLE_PART = 0.5;
     private static final long IDLE_MICROS = 20_000_000;
-    private final Vertx vertx;
+    private final Sockets sockets;
     private final PlatformConfig config;
     private final MicroClock clock = new MicroClock();
     private final Alarms alarms;
     private final GatekeeperHost host;
+    private final Figures figures = new Figures();
     private final WorkerPools workers;
     private final AddGetCounter counter;
     private final ClientFront front;
     private final Promise<Void> listed = Promise.promise();
     private CatalogWatch catalog;
+    private long reportAt;
     private fawndock.settings.Address discovery;
 
     /** Made on the context that it belongs to. */
     PlatformNode(Vertx vertx, PlatformConfig config, Function<Settings, Gatekeeper> maker) {
-        this.vertx = vertx;
+        this.sockets = new Sockets(vertx.getOrCreateContext());
         this.config = config;
         Settings settings = config.settings();
         alarms = new Alarms(vertx);
-        host = new GatekeeperHost(clock, alarms, this, settings.limits().maxAttempts(), Answers.NONE);
+        host = new GatekeeperHost(clock, alarms, this, settings.limits().maxAttempts(), 1, Answers.NONE);
         host.decideBy(maker.apply(settings));
         long idle = config.idleMicros() <= 0 ? IDLE_MICROS : (long) (IDLE_PART * config.idleMicros());
-        workers = new WorkerPools(vertx, clock::now, (int) (WORKERS * config.sockets()), config.connectMicros(), idle);
-        counter = new AddGetCounter(vertx, config.counter(), clock, alarms, config.connectMicros(),
-                settings.counter().waitMicros(), host::tell);
-        front = new ClientFront(vertx, host, new ClientCommand.Terms(config), (int) (CLIENTS * config.sockets()),
+        workers = new WorkerPools(sockets, clock::now, figures, (int) (WORKERS * config.sockets()), config.connectMicros(), idle);
+        counter = new AddGetCounter(sockets, config.counter(), clock, alarms, figures,
+                config.connectMicros(), settings.counter().waitMicros(), host::tell);
+        front = new ClientFront(sockets, host, new ClientCommand.Terms(config), (int) (CLIENTS * config.sockets()),
                 settings.limits().maxOpen(), config.memoryBytes() / MOST_BYTES_SHARE);
         sweep();
     }
@@ -71,16 +75,32 @@
             alarms.after(LIST_WAIT_MICROS, listed::tryComplete);
         }
         follow(config.discovery());
-        return listed.future().compose(v -> front.listen(ReplyConnection.socketAddress(config.listen())))
-                .onSuccess(v -> LOG.info("{} ({} of {}) listens on {}", config.name(), config.settings().me(),
+        report();
+        return listed.future().compose(v -> {
+            Promise<Void> bound = Promise.promise();
+            front.listen(config.listen()).addListener(done -> {
+                if (done.isSuccess()) {
+                    bound.complete();
+                } else {
+                    bound.fail(done.cause());
+                }
+            });
+            return bound.future();
+        }).onSuccess(v -> LOG.info("{} ({} of {}) listens on {}", config.name(), config.settings().me(),
                         config.settings().gatekeepers(), config.listen()));
     }
 
+    /** Listens with this list of workers and follows no catalog: for {@link Rehearsal}. */
+    ChannelFuture rehearse(CatalogList list) {
+        take(list, Listing.COMPLETE);
+        return front.listen(config.listen());
+    }
+
     private void follow(fawndock.settings.Address address) {
         CatalogWatch before = catalog;
         discovery = address;
         boolean[] heard = new boolean[1];
-        catalog = new CatalogWatch(vertx, address, alarms, list -> {
+        catalog = new CatalogWatch(sockets, address, alarms, list -> {
             if (!heard[0] && before != null) {
                 before.close(); // Not sooner: until the new one speaks, what the old one tells counts.
             }
@@ -122,6 +142,17 @@
         return host;
     }
 
+    /** One line every few seconds, whatever the load. */
+    private void report() {
+        alarms.after(REPORT_MICROS, () -> {
+            long late = clock.now() - reportAt - REPORT_MICROS;
+            LOG.info("open {}, clients {}, workers {}, loop {} ms late; {}", host.open(), front.connections(), workers.open(),
+                    late / 1_000, figures.take());
+            report();
+        });
+        reportAt = clock.now();
+    }
+
     private void sweep() {
         workers.sweep();
         alarms.after(SWEEP_MICROS, this::sweep);
@@ -131,7 +162,9 @@
         front.close();
         counter.close();
         workers.close();
-        catalog.close();
+        if (catalog != null) {
+            catalog.close();
+        }
         alarms.close();
     }
 
--- /dev/null
+++ b/src/main/java/fawndock/platform/Rehearsal.java
@@ -0,0 +1,175 @@
+package fawndock.platform;
+
+import fawndock.Gatekeeper;
+import fawndock.Gatekeeper.Plan;
+import fawndock.Gatekeeper.Repeat;
+import fawndock.Gatekeeper.RequestClass;
+import fawndock.Gatekeeper.Settings;
+import fawndock.resp.CommandReader;
+import fawndock.resp.ProtocolException;
+import fawndock.resp.ReplyReader;
+import fawndock.resp.ReplyWriter;
+import fawndock.settings.Address;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Sends requests of its own through a throw-away gatekeeper of the same parts to a throw-away worker and counter, over
+ * sockets within this machine, before the first client is let in. Guards against a start under full load with code that
+ * is still being compiled, which costs four times as much: on a third of a core the first seconds' requests ran out of
+ * time, and their clients' retries with them. Delays a start by its time limit at most.
+ */
+final class Rehearsal {
+    private static final Logger LOG = LoggerFactory.getLogger(Rehearsal.class);
+    private static final int REQUESTS = 700;
+    private static final int AT_ONCE = 6;
+    private static final long LIMIT_MILLIS = 3_500;
+    private final Vertx vertx;
+    private final PlatformConfig config;
+    private final Function<Settings, Gatekeeper> maker;
+    private final Promise<Void> done = Promise.promise();
+    private Path folder;
+    private PlatformNode node;
+    private int sent;
+    private int answered;
+
+    Rehearsal(Vertx vertx, PlatformConfig config, Function<Settings, Gatekeeper> maker) {
+        this.vertx = vertx;
+        this.config = config;
+        this.maker = maker;
+    }
+
+    /** Never fails: a rehearsal that does not work out is no reason not to start. */
+    Future<Void> run() {
+        long from = System.nanoTime();
+        try {
+            folder = Files.createTempDirectory("fawndock");
+            Address back = new Address(folder.resolve("b").toString(), 0);
+            Address front = new Address(folder.resolve("f").toString(), 0);
+            Sockets sockets = new Sockets(vertx.getOrCreateContext());
+            CatalogList list = new CatalogList(1, true, List.of(new Gatekeeper.Server("w", config.settings().zone(), 0,
+                    Gatekeeper.Availability.RUNNING, 1, 0)), Map.of("w", back));
+            PlatformConfig own = new PlatformConfig("rehearsal", front, back, back, config.settings(), list,
+                    config.sockets(), config.memoryBytes(), config.connectMicros(), config.idleMicros(), config.mostUnits());
+            node = new PlatformNode(vertx, own, maker);
+            sockets.listen(back, Back::new);
+            node.rehearse(list).addListener(bound -> {
+                for (int i = 0; i < AT_ONCE && bound.isSuccess(); i++) {
+                    sockets.connect(front, config.connectMicros(), new Client());
+                }
+            });
+            vertx.setTimer(LIMIT_MILLIS, id -> done.tryComplete());
+        } catch (IOException | RuntimeException e) {
+            LOG.warn("no rehearsal: {}", e.toString());
+            done.tryComplete();
+        }
+        return done.future().onComplete(v -> {
+            LOG.info("rehearsed with {} of {} requests answered in {} ms", answered, sent, (System.nanoTime() - from) / 1_000_000);
+            close();
+        });
+    }
+
+    private void close() {
+        if (node != null) {
+            node.close();
+        }
+        for (String name : new String[] {"b", "f", ""}) {
+            try {
+                Files.deleteIfExists(folder.resolve(name));
+            } catch (IOException | RuntimeException e) {
+                LOG.debug("left behind: {}", e.toString());
+            }
+        }
+    }
+
+    private ByteBuf next() {
+        RequestClass type = config.settings().classes().get(sent % config.settings().classes().size());
+        Plan plan = config.settings().plans().get(sent % config.settings().plans().size());
+        sent++;
+        String list = "c=" + type.name() + ",t=" + plan.name() + ",d=1000"
+                + (type.repeat() == Repeat.DEDUPLICATED ? ",k=0" : "") + ",units=1,spread=1,first=0";
+        ByteBuf out = Unpooled.buffer(160);
+        ReplyWriter writer = new ReplyWriter(out);
+        writer.array(4);
+        writer.bulk(type.repeat() == Repeat.IDEMPOTENT ? "Q.ASK" : "Q.DO");
+        writer.bulk(String.format("%016x", sent));
+        writer.bulk(String.format("%016x", sent));
+        writer.bulk(list);
+        return out;
+    }
+
+    /** One client, a request at a time. */
+    private final class Client extends Wire {
+        private final ReplyReader reader = new ReplyReader(64 << 10, 1_024, 0);
+
+        @Override
+        public void channelActive(io.netty.channel.ChannelHandlerContext handler) {
+            send(next());
+        }
+
+        @Override
+        void bytes(ByteBuf in) {
+            try {
+                while (reader.next(in) != null) {
+                    answered++;
+                    if (answered >= REQUESTS) {
+                        done.tryComplete();
+                        close();
+                        return;
+                    }
+                    send(next());
+                }
+            } catch (ProtocolException e) {
+                done.tryComplete();
+            }
+        }
+
+        @Override
+        void ended() {
+            // The others go on.
+        }
+    }
+
+    /** Worker and counter in one. */
+    private static final class Back extends Wire {
+        private final CommandReader reader = new CommandReader(CommandReader.Limits.SERVER);
+
+        @Override
+        void bytes(ByteBuf in) {
+            try {
+                for (byte[][] words = reader.next(in); words != null; words = reader.next(in)) {
+                    ByteBuf out = Unpooled.buffer(96);
+                    ReplyWriter writer = new ReplyWriter(out);
+                    if (new String(words[0], StandardCharsets.ISO_8859_1).equals("ADDGET")) {
+                        writer.bulk("0.5");
+                    } else {
+                        writer.array(3);
+                        writer.bulk(words[2]);
+                        writer.nil();
+                        writer.bulk("recent_ms=7.25,throughput=2.5,backlog=0");
+                    }
+                    send(out);
+                }
+            } catch (ProtocolException e) {
+                close();
+            }
+        }
+
+        @Override
+        void ended() {
+            // Nothing is kept.
+        }
+    }
+}
--- a/src/main/java/fawndock/platform/ReplyConnection.java
+++ b/src/main/java/fawndock/platform/ReplyConnection.java
@@ -5,11 +5,6 @@
 import fawndock.resp.ReplyReader;
 import fawndock.settings.Address;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.net.NetClient;
-import io.vertx.core.net.NetSocket;
-import io.vertx.core.net.SocketAddress;
 import java.util.function.Consumer;
 
 /**
@@ -25,7 +20,7 @@
         /** A reply has come; {@code more} says that bytes stand behind it. */
         void reply(Reply reply, boolean more);
 
-        /** What came is no reply. The connection closes after this. */
+        /** What came is no reply. The connection has been closed. */
         void spoilt(String why);
 
         /** It did not come up, or it is over; not told after {@link #close} was called. */
@@ -34,76 +29,69 @@
 
     private final ReplyReader reader;
     private final Owner owner;
-    private NetSocket socket;
-    private ByteBuf input = Unpooled.EMPTY_BUFFER;
+    private final Wire wire = new Wire() {
+        @Override
+        void bytes(ByteBuf in) {
+            read(in);
+        }
+
+        @Override
+        void ended() {
+            over(up);
+        }
+    };
+    private boolean up;
     private boolean closed;
 
-    ReplyConnection(NetClient client, SocketAddress address, ReplyReader reader, Owner owner) {
+    ReplyConnection(Sockets sockets, Address address, long connectMicros, ReplyReader reader, Owner owner) {
         this.reader = reader;
         this.owner = owner;
-        client.connect(address).onComplete(made -> {
-            if (closed) {
-                if (made.succeeded()) {
-                    made.result().close();
-                }
-            } else if (made.failed()) {
-                closed = true;
-                owner.closed(false);
+        sockets.connect(address, connectMicros, wire).addListener(made -> {
+            if (!made.isSuccess()) {
+                over(false);
+            } else if (closed) {
+                wire.close();
             } else {
-                socket = made.result();
-                socket.handler(this::bytes);
-                socket.exceptionHandler(e -> { });
-                socket.closeHandler(v -> over());
+                up = true;
                 owner.up();
             }
         });
     }
 
-    static SocketAddress socketAddress(Address address) {
-        return address.port() == 0 ? SocketAddress.domainSocketAddress(address.host())
-                : SocketAddress.inetSocketAddress(address.port(), address.host());
-    }
-
     boolean isUp() {
-        return socket != null && !closed;
+        return up && !closed;
     }
 
     /** Writes; the consumer is told whether all of it was handed to the network, false when the connection broke before. */
-    void write(Buffer bytes, Consumer<Boolean> written) {
-        socket.write(bytes).onComplete(done -> written.accept(done.succeeded()));
+    void write(ByteBuf bytes, Consumer<Boolean> written) {
+        wire.send(bytes).addListener(done -> written.accept(done.isSuccess()));
     }
 
-    private void bytes(Buffer part) {
-        if (closed) {
-            return;
-        }
-        byte[] got = part.getBytes();
-        input = input.isReadable() ? Unpooled.buffer(input.readableBytes() + got.length).writeBytes(input).writeBytes(got)
-                : Unpooled.wrappedBuffer(got);
+    private void read(ByteBuf in) {
         try {
-            for (Reply reply = reader.next(input); reply != null && !closed; reply = closed ? null : reader.next(input)) {
-                owner.reply(reply, input.isReadable());
+            for (Reply reply = reader.next(in); reply != null; reply = closed ? null : reader.next(in)) {
+                owner.reply(reply, in.isReadable());
             }
         } catch (ProtocolException e) {
             if (!closed) {
-                owner.spoilt(e.getMessage());
                 close();
+                owner.spoilt(e.getMessage());
             }
         }
     }
 
-    private void over() {
+    private void over(boolean wasUp) {
         if (!closed) {
             closed = true;
-            owner.closed(true);
+            owner.closed(wasUp);
         }
     }
 
     /** Ends it now; nothing is told any more. */
     void close() {
         closed = true;
-        if (socket != null) {
-            socket.close();
+        if (up) {
+            wire.close();
         }
     }
 }
--- a/src/main/java/fawndock/platform/WorkerCall.java
+++ b/src/main/java/fawndock/platform/WorkerCall.java
@@ -4,7 +4,8 @@
 import fawndock.host.GatekeeperHost;
 import fawndock.host.OpenAttempt;
 import fawndock.host.OpenRequest;
-import io.vertx.core.buffer.Buffer;
+import io.netty.buffer.ByteBuf;
+import java.util.Map;
 
 /**
  * One attempt at a worker, on a connection that carries nothing else meanwhile: giving it up ends the connection, and
@@ -30,9 +31,20 @@
         pools.lease(server, this);
     }
 
+    private void finish(Result how, Map<String, Double> load, double units) {
+        if (result() == null) {
+            pools.figures().attempt(server, how);
+            end(how, load, units);
+        }
+    }
+
+    private void finish(Result how) {
+        finish(how, Map.of(), 0);
+    }
+
     /** Nobody has told the worker's address. */
     void unknown() {
-        end(Result.UNUSED);
+        finish(Result.UNUSED);
     }
 
     /** There is a connection; returns whether it is wanted. */
@@ -43,7 +55,7 @@
         lease = ready;
         sent = true;
         long left = Math.max(1, (abandonAt - host.clock().now()) / 1_000);
-        Buffer command = exchange.command().toWorker(left);
+        ByteBuf command = exchange.command().toWorker(left);
         ready.connection().write(command, whole -> {
             written |= whole;
             if (!whole) {
@@ -55,7 +67,7 @@
 
     /** No connection came up. */
     void unconnected() {
-        end(Result.CONNECT_FAILED);
+        finish(Result.CONNECT_FAILED);
     }
 
     /** Its reply has come; returns whether the connection is of further use. */
@@ -63,18 +75,18 @@
         if (answer.result() == Result.OK && result() == null) {
             host.deliver(open, this, () -> exchange.serve(answer.value()));
         }
-        end(answer.result(), answer.load(), answer.units());
+        finish(answer.result(), answer.load(), answer.units());
         return answer.sound();
     }
 
     /** What came cannot be read: the worker answered, and the work may have run. */
     void spoilt() {
-        end(Result.ERROR);
+        finish(Result.ERROR);
     }
 
     /** The connection broke. */
     void broken() {
-        end(written ? Result.RESET : Result.CONNECT_FAILED);
+        finish(written ? Result.RESET : Result.CONNECT_FAILED);
     }
 
     @Override
@@ -92,7 +104,7 @@
             if (lease != null) {
                 lease.abandon();
             }
-            end(how);
+            finish(how);
         }
     }
 }
--- a/src/main/java/fawndock/platform/WorkerPools.java
+++ b/src/main/java/fawndock/platform/WorkerPools.java
@@ -3,10 +3,6 @@
 import fawndock.resp.Reply;
 import fawndock.resp.ReplyReader;
 import fawndock.settings.Address;
-import io.vertx.core.Vertx;
-import io.vertx.core.net.NetClient;
-import io.vertx.core.net.NetClientOptions;
-import io.vertx.core.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -30,10 +26,10 @@
 
     /** Idle connections of one worker, the longest idle first. */
     private static final class Pool {
-        final SocketAddress address;
+        final Address address;
         final ArrayDeque<Lease> idle = new ArrayDeque<>(4);
 
-        Pool(SocketAddress address) {
+        Pool(Address address) {
             this.address = address;
         }
     }
@@ -49,7 +45,7 @@
             this.pool = pool;
             this.call = call;
             open++;
-            connection = new ReplyConnection(client, pool.address, READER, this);
+            connection = new ReplyConnection(sockets, pool.address, connectMicros, READER, this);
         }
 
         ReplyConnection connection() {
@@ -73,6 +69,9 @@
             call = null;
             // Before it is told: what is sent on hearing of it may want the connection.
             WorkerAnswer answer = WorkerAnswer.of(reply);
+            if (reply.isError() || !answer.sound()) {
+                figures.error(reply.type() + reply.text());
+            }
             if (more || !answer.sound()) {
                 abandon();
             } else {
@@ -83,6 +82,7 @@
 
         @Override
         public void spoilt(String why) {
+            figures.error(why);
             gone();
             if (call != null) {
                 call.spoilt();
@@ -121,9 +121,11 @@
         }
     }
 
-    private final NetClient client;
+    private final Sockets sockets;
     private final LongSupplier now;
+    private final Figures figures;
     private final int most;
+    private final long connectMicros;
     private final long idleMicros;
     private final Map<String, Pool> pools = new HashMap<>();
     private int open;
@@ -136,21 +138,21 @@
      * @param most connections in all
      * @param idleMicros after which an idle one is closed
      */
-    WorkerPools(Vertx vertx, LongSupplier now, int most, long connectMicros, long idleMicros) {
-        this.client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
-                .setConnectTimeout((int) Math.max(1, connectMicros / 1_000)));
+    WorkerPools(Sockets sockets, LongSupplier now, Figures figures, int most, long connectMicros, long idleMicros) {
+        this.sockets = sockets;
+        this.connectMicros = connectMicros;
         this.now = now;
+        this.figures = figures;
         this.most = most;
         this.idleMicros = idleMicros;
     }
 
     /** Where a worker listens now; connections to another address of it are given up when they are idle. */
     void address(String server, Address address) {
-        SocketAddress at = ReplyConnection.socketAddress(address);
         Pool pool = pools.get(server);
-        if (pool == null || !pool.address.equals(at)) {
+        if (pool == null || !pool.address.equals(address)) {
             forget(server);
-            pools.put(server, new Pool(at));
+            pools.put(server, new Pool(address));
         }
     }
 
@@ -216,6 +218,10 @@
         }
     }
 
+    Figures figures() {
+        return figures;
+    }
+
     int open() {
         return open;
     }
@@ -227,6 +233,5 @@
 
     void close() {
         java.util.List.copyOf(pools.keySet()).forEach(this::forget);
-        client.close();
     }
 }
--- /dev/null
+++ b/src/main/java/fawndock/standin/CatalogStandIn.java
@@ -0,0 +1,127 @@
+package fawndock.standin;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** The platform's catalog on a free loopback port: the whole list, and a watch that goes on with lines told to it. */
+public final class CatalogStandIn implements AutoCloseable {
+    private final ServerSocket listener;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final Set<OutputStream> watches = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger watched = new AtomicInteger();
+    private volatile String whole;
+
+    /** Serves this whole list, a JSON object. */
+    public CatalogStandIn(String whole) throws IOException {
+        this.whole = whole;
+        listener = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
+        thread(this::accept);
+    }
+
+    /** A list as the catalog writes it: an id, an address and a status for each worker. */
+    public static String list(long index, boolean whole, String... workers) {
+        StringBuilder text = new StringBuilder("{\"index\":" + index + ",\"snapshot\":" + whole + ",\"endpoints\":[");
+        for (int i = 0; i + 2 < workers.length; i += 3) {
+            text.append(i == 0 ? "" : ",").append("{\"name\":\"").append(workers[i]).append("\",\"address\":\"")
+                    .append(workers[i + 1]).append("\",\"zone\":\"a\",\"type\":\"m\",\"group\":1,\"status\":\"")
+                    .append(workers[i + 2]).append("\",\"weight\":1.0,\"since_ms\":0}");
+        }
+        return text.append("]}").toString();
+    }
+
+    private static void thread(Runnable what) {
+        Thread thread = new Thread(what, "stand-in");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        while (!listener.isClosed()) {
+            try {
+                Socket socket = listener.accept();
+                open.add(socket);
+                thread(() -> serve(socket));
+            } catch (IOException e) {
+                return; // Closed.
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try {
+            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            OutputStream out = socket.getOutputStream();
+            String asked = in.readLine();
+            for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
+                // The header fields say nothing of use.
+            }
+            if (asked != null && asked.contains("stream=1")) {
+                send(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                watches.add(out);
+                watched.incrementAndGet();
+                in.readLine(); // Until the other side has left.
+            } else if (asked != null) {
+                String body = whole;
+                send(out, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            }
+            socket.close();
+        } catch (IOException e) {
+            // The connection is over.
+        } finally {
+            open.remove(socket);
+        }
+    }
+
+    private static void send(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
+    /** Tells all watches a line, whatever it is. */
+    public void tell(String line) {
+        for (OutputStream out : watches) {
+            try {
+                send(out, Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
+            } catch (IOException e) {
+                watches.remove(out); // It has left.
+            }
+        }
+    }
+
+    /** The whole list from now on. */
+    public void whole(String list) {
+        whole = list;
+    }
+
+    /** Watches begun so far. */
+    public int watched() {
+        return watched.get();
+    }
+
+    public int port() {
+        return listener.getLocalPort();
+    }
+
+    /** Ends the watches that are open. */
+    public void cut() throws IOException {
+        watches.clear();
+        for (Socket socket : open) {
+            socket.close();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        cut();
+    }
+}
--- /dev/null
+++ b/src/main/java/fawndock/standin/RespServer.java
@@ -0,0 +1,158 @@
+package fawndock.standin;
+
+import fawndock.resp.CommandReader;
+import fawndock.resp.ProtocolException;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * A server of RESP2 on a free loopback port, a thread for each connection; what it answers is given as bytes, so that
+ * it can also answer what no server should. Stands in for the platform's workers and its counter.
+ */
+public final class RespServer implements AutoCloseable {
+    /** Answers commands, each on its connection's own thread. */
+    public interface Behaviour {
+        void command(List<String> words, Link link) throws IOException, InterruptedException;
+    }
+
+    /** One connection. */
+    public static final class Link {
+        private final Socket socket;
+        private final OutputStream out;
+
+        private Link(Socket socket) throws IOException {
+            this.socket = socket;
+            this.out = socket.getOutputStream();
+        }
+
+        /** Sends these characters, a byte each, at once. */
+        public void send(String bytes) throws IOException {
+            out.write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+        }
+
+        /** Ends the connection: in order, or by a reset. */
+        public void end(boolean reset) throws IOException {
+            if (reset) {
+                socket.setSoLinger(true, 0);
+            }
+            socket.close();
+        }
+    }
+
+    private static final int MOST_CONNECTIONS = 512;
+    private final ServerSocket listener;
+    private final Behaviour behaviour;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger accepted = new AtomicInteger();
+    private final AtomicInteger commands = new AtomicInteger();
+
+    /** Listens from now on. */
+    public RespServer(Behaviour behaviour) throws IOException {
+        this.behaviour = behaviour;
+        listener = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
+        thread(this::accept);
+    }
+
+    private static void thread(Runnable what) {
+        Thread thread = new Thread(what, "stand-in");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        while (!listener.isClosed()) {
+            try {
+                Socket socket = listener.accept();
+                accepted.incrementAndGet();
+                if (open.size() >= MOST_CONNECTIONS) {
+                    socket.close();
+                    continue;
+                }
+                open.add(socket);
+                thread(() -> serve(socket));
+            } catch (IOException e) {
+                return; // Closed.
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        CommandReader reader = new CommandReader(CommandReader.Limits.SERVER);
+        ByteBuf in = Unpooled.buffer();
+        byte[] part = new byte[8_192];
+        try (socket) {
+            Link link = new Link(socket);
+            for (int n = socket.getInputStream().read(part); n >= 0; n = socket.getInputStream().read(part)) {
+                in.discardReadBytes().writeBytes(part, 0, n);
+                for (byte[][] words = reader.next(in); words != null; words = reader.next(in)) {
+                    commands.incrementAndGet();
+                    behaviour.command(Arrays.stream(words).map(w -> new String(w, StandardCharsets.ISO_8859_1)).toList(), link);
+                }
+            }
+        } catch (IOException | ProtocolException e) {
+            // The connection is over.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            open.remove(socket);
+        }
+    }
+
+    public int port() {
+        return listener.getLocalPort();
+    }
+
+    /** Connections taken so far. */
+    public int accepted() {
+        return accepted.get();
+    }
+
+    /** Commands read so far. */
+    public int commands() {
+        return commands.get();
+    }
+
+    /** Connections open now. */
+    public int open() {
+        return open.size();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket socket : open) {
+            socket.close();
+        }
+    }
+
+    /** Answers as the platform's worker does when all is well: the value names the request's id. */
+    public static Behaviour worker() {
+        return (words, link) -> link.send(served("value of " + words.get(2), "recent_ms=7,throughput=2.5,backlog=0"));
+    }
+
+    /** A whole answer of a worker with a load report. */
+    public static String served(String value, String load) {
+        return "*3\r\n$" + value.length() + "\r\n" + value + "\r\n$-1\r\n$" + load.length() + "\r\n" + load + "\r\n";
+    }
+
+    /** Answers as the platform's counter does. */
+    public static Behaviour counter() {
+        ConcurrentHashMap<String, Double> totals = new ConcurrentHashMap<>();
+        return (words, link) -> {
+            String total = String.valueOf(totals.merge(words.get(1), Double.parseDouble(words.get(2)), Double::sum));
+            link.send("$" + total.length() + "\r\n" + total + "\r\n");
+        };
+    }
+}
--- a/src/test/java/fawndock/BordersTest.java
+++ b/src/test/java/fawndock/BordersTest.java
@@ -94,6 +94,21 @@
             "fawndock.counter..", "fawndock.settings..").should().dependOnClassesThat().resideInAnyPackage("fawndock.cli..",
             "fawndock.drill..", "fawndock.lab..", "fawndock.benchlink..");
 
+    @ArchTest
+    static final ArchRule HOST_KNOWS_NO_PROTOCOL = noClasses().that().resideInAPackage("fawndock.host..").should()
+            .dependOnClassesThat().resideInAnyPackage("io.vertx.core.http..", "io.vertx.core.net..", "io.netty..",
+                    "fawndock.gateway..", "fawndock.platform..", "fawndock.resp..");
+
+    @ArchTest
+    static final ArchRule PLATFORM_STANDS_ON_THE_HOST_ALONE = noClasses().that().resideInAPackage("fawndock.platform..").should()
+            .dependOnClassesThat().resideInAnyPackage("fawndock.gateway..", "fawndock.counter..", "fawndock.ratelimit..",
+                    "fawndock.cli..", "fawndock.drill..", "fawndock.lab..", "fawndock.benchlink..", "io.vertx.core.http..");
+
+    @ArchTest
+    static final ArchRule CODEC_OPENS_NOTHING = noClasses().that().resideInAPackage("fawndock.resp..").should()
+            .dependOnClassesThat().resideInAnyPackage("io.netty.channel..", "io.vertx..", "java.net..", "fawndock", "fawndock.host..", "fawndock.counter..",
+                    "fawndock.platform..");
+
     @ArchTest
     static final ArchRule SETTINGS_OPEN_NOTHING = noClasses().that().resideInAPackage("fawndock.settings..").should()
             .dependOnClassesThat().resideInAnyPackage("io..", "java.net..");
--- a/src/test/java/fawndock/RulesTest.java
+++ b/src/test/java/fawndock/RulesTest.java
@@ -147,6 +147,21 @@
         assertTrue(failed <= 3, "sent to the failing server " + failed + " times");
     }
 
+    /** One that answers errors at once looks quick, and is not idle for being so. */
+    @Test
+    void aServerThatFailsFastDrawsNoTraffic() {
+        Rig rig = rig(Repeat.AT_MOST_ONCE, "a", "b", "c");
+        int failing = 0;
+        for (int id = 1; id <= 300; id++) {
+            rig.now += 50_000;
+            String server = one(Attempt.class, rig.request(id)).server();
+            boolean fails = server.equals("a") && id % 5 != 0;
+            failing += server.equals("a") ? 1 : 0;
+            rig.on(new Outcome(id, 0, server, server.equals("a") ? 5_000 : 150_000, fails ? Result.ERROR : Result.OK, true, 0, Map.of()));
+        }
+        assertTrue(failing < 30, failing + " of 300 went to the one that fails");
+    }
+
     @Test
     void aFullFleetIsNotHammered() {
         Rig rig = rig(Repeat.IDEMPOTENT, "a", "b", "c", "d", "e");
--- a/src/test/java/fawndock/lab/emu/EmulationTest.java
+++ b/src/test/java/fawndock/lab/emu/EmulationTest.java
@@ -131,7 +131,7 @@
             counter-slow from 5s until 18s times 400                       | counter-queue-ms          | more | 20
             counter-loses from 10s                                         | use                       | more | 1.0
             counter-split from 5s until 18s gatekeepers 6 part 1           | use                       | more | 1.03
-            worker-errs worker 1 count 4 from 5s until 18s share 0.9       | served-a-try              | less | 0.9
+            worker-errs worker 0 count 8 from 5s until 18s share 0.9       | served-a-try              | less | 0.9
             worker-leaks worker 0 count 8 from 5s until 18s many 300       | served-a-try              | less | 0.9
             worker-drains worker 0 count 7 from 5s until 18s               | served-a-try              | less | 1.0
             zone-dies zone 1 from 5s until 15s                             | p99-ms                    | more | 1.05
--- /dev/null
+++ b/src/test/java/fawndock/platform/Service.java
@@ -0,0 +1,60 @@
+package fawndock.platform;
+
+import fawndock.Logic;
+import fawndock.standin.PlatformWorld;
+import fawndock.standin.RespClient;
+import fawndock.standin.RespServer;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** One gatekeeper of the platform's way in, in service among stand-ins, for one test. */
+final class Service implements AutoCloseable {
+    final PlatformWorld world;
+    final PlatformDaemon daemon;
+    private final Thread thread;
+    private final AtomicInteger code = new AtomicInteger(-1);
+    private long nextId = 1;
+
+    Service(RespServer.Behaviour worker, RespServer.Behaviour counter) throws Exception {
+        this(worker, counter, 256);
+    }
+
+    Service(RespServer.Behaviour worker, RespServer.Behaviour counter, int sockets) throws Exception {
+        world = new PlatformWorld(worker, counter, sockets);
+        daemon = new PlatformDaemon(world.variables());
+        thread = new Thread(() -> {
+            try {
+                code.set(daemon.run(Logic::new));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        thread.start();
+        if (!daemon.awaitReady(30, TimeUnit.SECONDS)) {
+            throw new IllegalStateException("not ready within 30 s");
+        }
+    }
+
+    RespClient client() throws IOException {
+        return new RespClient(world.port());
+    }
+
+    /** The words of a new request. */
+    String[] request(String type) {
+        return PlatformWorld.request(type, "large", 7, nextId++, "");
+    }
+
+    /** Tells it to stop and waits for its end; returns the exit code. */
+    int stop() throws InterruptedException {
+        daemon.stop();
+        thread.join(30_000);
+        return code.get();
+    }
+
+    @Override
+    public void close() throws Exception {
+        stop();
+        world.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/fawndock/platform/TroubleTest.java
@@ -0,0 +1,140 @@
+package fawndock.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import fawndock.standin.CatalogStandIn;
+import fawndock.standin.RespClient;
+import fawndock.standin.RespServer;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+/** The counter, the catalog, new configurations and stops, each with its trouble, under requests. */
+class TroubleTest {
+    private static String ask(Service service, RespClient client, String type) throws Exception {
+        String[] words = service.request(type);
+        String answer = client.ask(words);
+        return answer.equals("value of " + words[2]) ? "served" : answer;
+    }
+
+    @Test
+    void aCounterInTroubleCostsARequestNothingButItsWait() throws Exception {
+        for (RespServer.Behaviour counter : new RespServer.Behaviour[] {(words, link) -> { }, (words, link) -> link.send("-BUSY\r\n"),
+            (words, link) -> link.send("-ERR no such call\r\n"), (words, link) -> link.end(true),
+            (words, link) -> link.send("$3000000000\r\n"), (words, link) -> link.send("$5\r\nnoise\r\n"),
+            (words, link) -> link.send("+OK\r\n"), (words, link) -> link.send("$1\r\n1\r\n$1\r\n1\r\n")}) {
+            try (Service service = new Service(RespServer.worker(), counter); RespClient client = service.client()) {
+                for (int i = 0; i < 3; i++) {
+                    assertEquals("served", ask(service, client, "look"));
+                }
+                assertTrue(service.world.counter.commands() > 0);
+            }
+        }
+    }
+
+    @Test
+    void amountsHaveNoExponent() {
+        assertEquals("-2.5", AddGetCounter.number(-2.5));
+        assertEquals("0", AddGetCounter.number(0));
+        assertEquals("0.00000012", AddGetCounter.number(1.2e-7));
+        assertEquals("3", AddGetCounter.number(3));
+    }
+
+    @Test
+    void aWorkerIsReplacedAtItsAddressAndADrainIsKept() throws Exception {
+        try (Service service = new Service(RespServer.worker(), RespServer.counter()); RespClient client = service.client();
+                RespServer second = new RespServer(RespServer.worker())) {
+            Await.until(() -> service.world.catalog.watched() == 1);
+            assertEquals("served", ask(service, client, "look"));
+            String at = "127.0.0.1:" + service.world.worker.port();
+            service.world.catalog.tell("what is no JSON");
+            service.world.catalog.whole(CatalogStandIn.list(9, true, "w9", at, "ready"));
+            Await.until(() -> service.world.catalog.watched() == 2);
+            assertEquals("served", ask(service, client, "look"));
+            service.world.catalog.tell(CatalogStandIn.list(10, false, "w9", at, "draining", "w10", "127.0.0.1:" + second.port(), "ready"));
+            Await.until(() -> {
+                assertEquals("served", ask(service, client, "look"));
+                return second.commands() > 0;
+            });
+            int before = service.world.worker.commands();
+            for (int i = 0; i < 5; i++) {
+                assertEquals("served", ask(service, client, "look"));
+            }
+            assertEquals(before, service.world.worker.commands());
+        }
+    }
+
+    @Test
+    void anEmptyListEmptiesNothing() throws Exception {
+        try (Service service = new Service(RespServer.worker(), RespServer.counter()); RespClient client = service.client()) {
+            Await.until(() -> service.world.catalog.watched() == 1);
+            service.world.catalog.whole(CatalogStandIn.list(11, true));
+            service.world.catalog.tell(CatalogStandIn.list(11, true));
+            assertEquals("served", ask(service, client, "look"));
+            service.world.catalog.cut();
+            assertEquals("served", ask(service, client, "look"));
+        }
+    }
+
+    @Test
+    void aNewConfigurationIsTakenUpAndADamagedOneIsNot() throws Exception {
+        try (Service service = new Service(RespServer.worker(), RespServer.counter()); RespClient client = service.client();
+                RespServer counter = new RespServer(RespServer.counter());
+                CatalogStandIn catalog = new CatalogStandIn(CatalogStandIn.list(3, true, "w1",
+                        "127.0.0.1:" + service.world.worker.port(), "ready"))) {
+            assertEquals("served", ask(service, client, "look"));
+            service.world.write("{\"name\":");
+            service.daemon.reload();
+            assertEquals("served", ask(service, client, "look"));
+            assertEquals(0, counter.commands());
+            service.world.configure(catalog.port(), counter.port());
+            service.daemon.reload();
+            service.daemon.reload();
+            Await.until(() -> {
+                assertEquals("served", ask(service, client, "look"));
+                return counter.commands() > 0 && catalog.watched() == 1;
+            });
+            service.world.counter.close();
+            service.world.catalog.close();
+            int before = counter.commands();
+            assertEquals("served", ask(service, client, "look"));
+            assertTrue(counter.commands() > before);
+        }
+    }
+
+    @Test
+    void aStopAnswersWhatIsOpenAndWhatStillComes() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        RespServer.Behaviour worker = (words, link) -> {
+            if (words.get(0).equals("Q.DO")) {
+                release.await();
+            }
+            RespServer.worker().command(words, link);
+        };
+        try (Service service = new Service(worker, RespServer.counter())) {
+            RespClient open = service.client();
+            String[] words = service.request("pay");
+            open.send(RespClient.command(words));
+            Await.until(() -> service.world.worker.commands() == 1);
+            service.daemon.stop();
+            assertEquals("served", ask(service, service.client(), "look"));
+            release.countDown();
+            assertEquals("value of " + words[2], open.answer());
+            assertNull(open.answer());
+            assertEquals(0, service.stop());
+        }
+    }
+
+    @Test
+    void anUnusableConfigurationIsToldInOneLine() {
+        try {
+            PlatformConfig.read(java.util.Map.of());
+        } catch (PlatformConfig.UnusableException e) {
+            assertEquals("RELAY_CONFIG is not set: the path of the configuration is expected", e.getMessage());
+            return;
+        }
+        assertNotEquals("", "", "nothing was told");
+    }
+}
