--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -26,6 +26,7 @@
     /** Samples that these first guesses stand for, and windows over which local demand is taken. */
     private static final double PRIOR_SAMPLES = 4, DEMAND_WINDOWS = 3;
     private static final double RISK_GAIN = 0.3, RISK_WINDOWS = 4; // A customer's risk: its last tries.
+    private static final long REMEMBERED = 12; // Windows without a try: risk has faded to a twentieth.
     private static final double BREAK_EVEN = 0.7; // Of the risk: a client refused unasked may come again.
     private static final double LEAST_GAIN = 0.01; // Of a try's worth: keeps the order among risky ones.
     private static final double MOST_STAND_IN = 1; // Most of a limit that one asked try counts for.
@@ -216,7 +217,7 @@
     private final Map<String, ClassState> classes = new LinkedHashMap<>();
     private final Map<String, Plan> plans = new LinkedHashMap<>();
     private final TreeMap<String, ServerState> servers = new TreeMap<>();
-    private final Map<String, Pair> pairs = new LinkedHashMap<>();
+    private final Map<String, Pair> pairs = new LinkedHashMap<>(64, 0.75f, true); // The longest unused first.
     private final Map<String, Tally> tallies = new LinkedHashMap<>();
     private final double[][] risk = new double[2][LEVELS], samples = new double[2][LEVELS];
     private final Map<String, ArrayDeque<Call>> calls = new LinkedHashMap<>();
@@ -445,6 +446,7 @@
         };
         if (none) { return null; }
         String prefix = "roc".charAt(kind.ordinal()) + q.request.customer() + ".";
+        forgetUnused();
         Pair pair = pairs.computeIfAbsent(prefix, p -> switch (kind) {
             case RATE -> pair(kind, p, plan.storeSize(), plan.rate());
             case CEILING -> pair(kind, p, plan.ceilingBurst(), plan.ceilingRate());
@@ -454,6 +456,19 @@
         return pair;
     }
 
+    // Forgets customers without a try for so long that nothing known of them counts for much. Guards against
+    // a table that grows with each customer ever seen. May forget the risk of one that asks in rare bursts.
+    private void forgetUnused() {
+        Iterator<Pair> oldest = pairs.values().iterator();
+        for (int i = 0; i < 2 && oldest.hasNext(); i++) {
+            Pair pair = oldest.next();
+            if (now - pair.demandAt < REMEMBERED * pair.window) { return; }
+            oldest.remove();
+            tallies.remove(pair.current.name);
+            tallies.remove(pair.previous.name);
+        }
+    }
+
     private static Pair pair(Kind kind, String prefix, double store, double rate) {
         double seconds = Math.min(LONGEST_WINDOW / 1e6, store > 0 ? store / rate : 1);
         return new Pair(kind, prefix, Math.max(1, (long) (seconds * 1e6)), rate * seconds);
--- a/src/test/java/fawndock/QuotaTest.java
+++ b/src/test/java/fawndock/QuotaTest.java
@@ -232,6 +232,23 @@
         return only(Count.class, rig.on(new Counted(first.name(), Result.OK, first.amount(), 1_000))).size();
     }
 
+    /** Tables stay level when each customer comes once. */
+    @Test
+    void customersSeenOnceAreForgotten() throws Exception {
+        for (long id = 1; id <= 100_000; id++) {
+            rig.now += 5_000;
+            List<Action> asked = rig.on(new Request(id, "class", "plan", "customer" + id, rig.now + 3 * Rig.SECOND, 1, 2, 0, false));
+            Attempt a = one(Attempt.class, serve(asked));
+            rig.outcome(id, 0, a.server(), Result.OK, true);
+        }
+        for (String table : List.of("pairs", "tallies", "held", "calls")) {
+            java.lang.reflect.Field field = Logic.class.getDeclaredField(table);
+            field.setAccessible(true);
+            int size = ((java.util.Map<?, ?>) field.get(rig.logic)).size();
+            assertTrue(size < 30_000, table + " holds " + size);
+        }
+    }
+
     @Test
     void answersThatCannotBeReadAreNoCrowd() {
         for (long id = 1; id <= 40; id++) {
