Rehearsal and counters of before leave no connection open

Seen on reading the change again: 12 sockets open before the first client where 3 are in use. Cause: AddGetCounter.close() closed nothing since its NetClient went, Rehearsal kept no hand on its back listener, and check() looked at the lines of the present address alone, so that a silent counter of before was kept for good. Change: AddGetCounter knows its connections; close() ends them, check() ends those of an address before when nothing is out on them. Rehearsal closes its listener.

--- a/src/main/java/fawndock/platform/AddGetCounter.java
+++ b/src/main/java/fawndock/platform/AddGetCounter.java
@@ -14,7 +14,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -66,6 +68,7 @@
             this.line = line;
             heardAt = clock.now();
             connection = new ReplyConnection(sockets, at, connectMicros, READER, this);
+            connections.add(this);
         }
 
         void add(Call call) {
@@ -101,8 +104,7 @@
             heardAt = clock.now();
             Call call = out.poll();
             if (call == null) {
-                closed(true);
-                connection.close();
+                abandon();
                 return;
             }
             if (reply.isError()) {
@@ -111,8 +113,7 @@
                 Double total = reply.isBulk() ? total(reply.text()) : null;
                 end(call, total == null ? Result.TIMEOUT : Result.OK, total == null ? 0 : total);
                 if (total == null) { // Spoilt: it was added, and the connection is of no further use.
-                    closed(true);
-                    connection.close();
+                    abandon();
                 }
             }
         }
@@ -124,6 +125,7 @@
 
         @Override
         public void closed(boolean wasUp) {
+            connections.remove(this);
             if (line.wire == this) {
                 line.wire = null;
                 line.notBefore = wasUp ? 0 : clock.now() + line.pause;
@@ -134,13 +136,18 @@
             }
         }
 
-        /** Ends a connection on which nothing has been heard though calls are out. */
+        /** Ends it when nothing has been heard though calls are out, or none are and it is of an address before. */
         void check(long now) {
-            if (!out.isEmpty() && now - heardAt > SILENT_MICROS) {
-                connection.close();
-                closed(true);
+            if (out.isEmpty() ? !lines.contains(line) : now - heardAt > SILENT_MICROS) {
+                abandon();
             }
         }
+
+        /** Closes it; what is out on it ends as if it broke. */
+        void abandon() {
+            connection.close();
+            closed(true);
+        }
     }
 
     private final Sockets sockets;
@@ -151,6 +158,8 @@
     private final InOrder order;
     private final Figures figures;
     private List<Line> lines = List.of();
+    /** Connections that are not over, those of addresses before among them. */
+    private final Set<Connection> connections = new HashSet<>();
     private Address address;
     private int calls;
     private Alarms.Alarm next;
@@ -227,11 +236,7 @@
 
     private void check() {
         long now = clock.now();
-        for (Line line : lines) {
-            if (line.wire != null) {
-                line.wire.check(now);
-            }
-        }
+        List.copyOf(connections).forEach(connection -> connection.check(now));
         next = alarms.after(SILENT_MICROS / 4, this::check);
     }
 
@@ -254,5 +259,6 @@
     void close() {
         order.close();
         alarms.cancel(next);
+        List.copyOf(connections).forEach(Connection::abandon);
     }
 }
--- a/src/main/java/fawndock/platform/Rehearsal.java
+++ b/src/main/java/fawndock/platform/Rehearsal.java
@@ -12,6 +12,7 @@
 import fawndock.settings.Address;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -42,6 +43,7 @@
     private final Promise<Void> done = Promise.promise();
     private Path folder;
     private PlatformNode node;
+    private Channel behind;
     private int sent;
     private int answered;
 
@@ -67,7 +69,7 @@
             PlatformConfig own = new PlatformConfig("rehearsal", front, back, back, config.settings(), list,
                     config.sockets(), config.memoryBytes(), config.connectMicros(), config.idleMicros(), config.mostUnits());
             node = new PlatformNode(vertx, own, maker);
-            sockets.listen(back, Back::new);
+            behind = sockets.listen(back, Back::new).channel();
             node.rehearse(list).addListener(bound -> {
                 for (int i = 0; i < AT_ONCE && bound.isSuccess(); i++) {
                     sockets.connect(front, config.connectMicros(), new Client());
@@ -88,6 +90,9 @@
         if (node != null) {
             node.close();
         }
+        if (behind != null) {
+            behind.close();
+        }
         for (String name : new String[] {"b", "f", ""}) {
             try {
                 Files.deleteIfExists(folder.resolve(name));
--- a/src/test/java/fawndock/platform/TroubleTest.java
+++ b/src/test/java/fawndock/platform/TroubleTest.java
@@ -8,7 +8,10 @@
 import fawndock.standin.CatalogStandIn;
 import fawndock.standin.RespClient;
 import fawndock.standin.RespServer;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** The counter, the catalog, new configurations and stops, each with its trouble, under requests. */
@@ -66,6 +69,32 @@
         }
     }
 
+    /** Its sockets within the machine and their folder are gone when clients come. */
+    @Test
+    void theRehearsalLeavesNothingBehind() throws Exception {
+        String own = "fawndock-" + ProcessHandle.current().pid() + "-";
+        try (Service service = new Service(RespServer.worker(), RespServer.counter()); RespClient client = service.client()) {
+            assertEquals("served", ask(service, client, "look"));
+            Await.until(() -> Files.readAllLines(Path.of("/proc/net/unix")).stream().noneMatch(line -> line.contains(own)));
+            try (Stream<Path> left = Files.list(Path.of(System.getProperty("java.io.tmpdir")))) {
+                assertTrue(left.noneMatch(each -> each.getFileName().toString().startsWith(own)));
+            }
+        }
+    }
+
+    /** Connections to a counter that is no longer told about, and says nothing, are not kept. */
+    @Test
+    void connectionsToACounterOfBeforeEnd() throws Exception {
+        try (Service service = new Service(RespServer.worker(), (words, link) -> { }); RespClient client = service.client();
+                RespServer counter = new RespServer(RespServer.counter())) {
+            assertEquals("served", ask(service, client, "look"));
+            assertTrue(service.world.counter.open() > 0);
+            service.world.configure(service.world.catalog.port(), counter.port());
+            service.daemon.reload();
+            Await.until(() -> service.world.counter.open() == 0);
+        }
+    }
+
     @Test
     void anEmptyListEmptiesNothing() throws Exception {
         try (Service service = new Service(RespServer.worker(), RespServer.counter()); RespClient client = service.client()) {
