One writer for commands, one reading of HOST:PORT, one accept loop, one place for a call's time

Need: on reading the change again, ClientCommand and AddGetCounter wrote RESP by hand beside ReplyWriter; PlatformConfig read HOST:PORT beside Args; RespServer and CatalogStandIn each had an accept loop; CounterPart, CounterNodes and AddGetCounter each kept name and start of a call to make the same Counted; some code was dead (WorkerCall.replied's result, WorkerPools.refused, Wire.keeps, ClientFront.open). Change: resp.ReplyWriter, Address.read, standin.Listener and InOrder.Place serve all of them. Behaviour is the same, but that the platform's file may name an IPv6 address in brackets and its ports are digits only. Left as they are: Rehearsal beside gateway.WarmUp (another protocol, other parts), LoadReport beside WorkerAnswer.figures (other separators and filters), the two attempts' constructors.

--- a/src/main/java/fawndock/gateway/CounterNodes.java
+++ b/src/main/java/fawndock/gateway/CounterNodes.java
@@ -47,17 +47,6 @@
     private static final Command NODES = Command.create("FD.NODES");
     private static final Command HERE = Command.create("FD.HERE");
 
-    private static final class Waiting extends InOrder.Place {
-        final String name;
-        final long startedAt;
-
-        Waiting(String name, long startedAt) {
-            super(name);
-            this.name = name;
-            this.startedAt = startedAt;
-        }
-    }
-
     private final Vertx vertx;
     private final CounterParts settings;
     private final MicroClock clock;
@@ -70,7 +59,7 @@
     private final Map<String, NodeLine> nodes = new LinkedHashMap<>();
     /** Lines to nodes' new addresses, until they are connected. */
     private final Map<String, NodeLine> moving = new HashMap<>();
-    private final Map<Long, Waiting> calls = new HashMap<>();
+    private final Map<Long, InOrder.Place> calls = new HashMap<>();
     private boolean closed;
 
     CounterNodes(Vertx vertx, Context context, CounterParts settings, MicroClock clock, Alarms alarms,
@@ -112,7 +101,7 @@
     }
 
     void count(Count count) {
-        Waiting waiting = new Waiting(count.name(), clock.now());
+        InOrder.Place waiting = new InOrder.Place(count.name(), clock.now());
         order.begin(waiting);
         List<Out> out = new ArrayList<>();
         try {
@@ -148,7 +137,7 @@
                 }
                 list(give.node(), request);
             } else if (each instanceof End end) {
-                Waiting waiting = calls.remove(end.call());
+                InOrder.Place waiting = calls.remove(end.call());
                 if (waiting != null) {
                     end(waiting, switch (end.result()) {
                         case OK -> Result.OK;
@@ -248,8 +237,8 @@
         }
     }
 
-    private void end(Waiting waiting, Result result, double total) {
-        order.end(waiting, new Counted(waiting.name, result, total, clock.now() - waiting.startedAt));
+    private void end(InOrder.Place waiting, Result result, double total) {
+        order.end(waiting, result, total, clock.now());
     }
 
     void close() {
--- a/src/main/java/fawndock/gateway/CounterPart.java
+++ b/src/main/java/fawndock/gateway/CounterPart.java
@@ -41,13 +41,11 @@
     /** A call that is out. */
     private static final class Call extends InOrder.Place {
         final Count count;
-        final long startedAt;
         Alarms.Alarm timeOut;
 
         Call(Count count, long startedAt) {
-            super(count.name());
+            super(count.name(), startedAt);
             this.count = count;
-            this.startedAt = startedAt;
         }
     }
 
@@ -163,7 +161,7 @@
         }
         alarms.cancel(call.timeOut);
         out.remove(call);
-        order.end(call, new Counted(call.count.name(), result, total, clock.now() - call.startedAt));
+        order.end(call, result, total, clock.now());
     }
 
     @Override
--- a/src/main/java/fawndock/gateway/WorkerAttempt.java
+++ b/src/main/java/fawndock/gateway/WorkerAttempt.java
@@ -1,7 +1,6 @@
 package fawndock.gateway;
 
 import fawndock.Gatekeeper.Result;
-import fawndock.host.Alarms;
 import fawndock.host.GatekeeperHost;
 import fawndock.host.OpenAttempt;
 import fawndock.host.OpenRequest;
--- a/src/main/java/fawndock/host/InOrder.java
+++ b/src/main/java/fawndock/host/InOrder.java
@@ -1,6 +1,7 @@
 package fawndock.host;
 
 import fawndock.Gatekeeper.Counted;
+import fawndock.Gatekeeper.Result;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
@@ -11,10 +12,18 @@
     /** A call of a name that has its place among the others. */
     public static class Place {
         private final String name;
+        private final long startedAt;
         private Counted end;
 
-        protected Place(String name) {
+        /** A call of this name, made at this time in microseconds. */
+        public Place(String name, long startedAt) {
             this.name = name;
+            this.startedAt = startedAt;
+        }
+
+        /** How long it has been out. */
+        public long tookMicros(long now) {
+            return now - startedAt;
         }
 
         public boolean ended() {
@@ -37,8 +46,8 @@
     }
 
     /** A call that ends before an older one of its name, such as one that was never sent, waits for it. */
-    public void end(Place place, Counted end) {
-        place.end = end;
+    public void end(Place place, Result result, double total, long now) {
+        place.end = new Counted(place.name, result, total, place.tookMicros(now));
         ArrayDeque<Place> line = lines.get(place.name);
         while (line != null && !line.isEmpty() && line.peek().ended()) {
             Counted next = line.poll().end;
--- a/src/main/java/fawndock/platform/AddGetCounter.java
+++ b/src/main/java/fawndock/platform/AddGetCounter.java
@@ -8,10 +8,11 @@
 import fawndock.host.MicroClock;
 import fawndock.resp.Reply;
 import fawndock.resp.ReplyReader;
+import fawndock.resp.ReplyWriter;
 import fawndock.settings.Address;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.math.BigDecimal;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -38,14 +39,12 @@
     /** A call that is out. */
     private static final class Call extends InOrder.Place {
         private final Count count;
-        private final long startedAt;
         private boolean written;
         private Alarms.Alarm timeOut;
 
         Call(Count count, long startedAt) {
-            super(count.name());
+            super(count.name(), startedAt);
             this.count = count;
-            this.startedAt = startedAt;
         }
     }
 
@@ -82,13 +81,14 @@
         }
 
         private void send(Call call) {
-            String name = call.count.name();
-            String amount = number(call.count.amount());
-            String life = Long.toString(Math.max(1, (call.count.keepMicros() + 999) / 1_000));
-            connection.write(Unpooled.copiedBuffer("*4\r\n$6\r\nADDGET\r\n$" + name.length() + "\r\n" + name + "\r\n$"
-                    + amount.length() + "\r\n" + amount + "\r\n$" + life.length() + "\r\n" + life + "\r\n",
-                    StandardCharsets.US_ASCII),
-                    whole -> call.written |= whole);
+            ByteBuf command = Unpooled.buffer(128);
+            ReplyWriter writer = new ReplyWriter(command);
+            writer.array(4);
+            writer.bulk("ADDGET");
+            writer.bulk(call.count.name());
+            writer.bulk(number(call.count.amount()));
+            writer.bulk(Long.toString(Math.max(1, (call.count.keepMicros() + 999) / 1_000)));
+            connection.write(command, whole -> call.written |= whole);
         }
 
         @Override
@@ -229,9 +229,9 @@
             alarms.cancel(call.timeOut);
             calls--;
         }
-        long took = clock.now() - call.startedAt;
-        figures.call(result, took);
-        order.end(call, new Counted(call.count.name(), result, total, took));
+        long now = clock.now();
+        figures.call(result, call.tookMicros(now));
+        order.end(call, result, total, now);
     }
 
     private void check() {
--- a/src/main/java/fawndock/platform/ClientCommand.java
+++ b/src/main/java/fawndock/platform/ClientCommand.java
@@ -4,6 +4,7 @@
 import fawndock.Gatekeeper.Repeat;
 import fawndock.Gatekeeper.RequestClass;
 import fawndock.host.Exchange.Asked;
+import fawndock.resp.ReplyWriter;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
@@ -74,7 +75,7 @@
             throw new UnfitException("a customer, an id, a list and at most a body are expected");
         }
         String customer = hex(words[1], "the customer");
-        if (Long.parseUnsignedLong(customer, 16) < 0 || Long.parseUnsignedLong(customer, 16) >= CUSTOMERS) {
+        if (Long.compareUnsigned(Long.parseUnsignedLong(customer, 16), CUSTOMERS) >= 0) {
             throw new UnfitException("the customer is out of range");
         }
         String id = hex(words[2], "the id");
@@ -154,18 +155,11 @@
         byte[] list = (fields.substring(0, at) + leftMillis + (to < 0 ? "" : fields.substring(to)))
                 .getBytes(StandardCharsets.ISO_8859_1);
         ByteBuf out = Unpooled.buffer(96 + list.length + (words.length == 5 ? words[4].length : 0));
-        line(out, '*', words.length);
+        ReplyWriter writer = new ReplyWriter(out);
+        writer.array(words.length);
         for (int i = 0; i < words.length; i++) {
-            byte[] word = i == 3 ? list : words[i];
-            line(out, '$', word.length);
-            out.writeBytes(word).writeByte('\r').writeByte('\n');
+            writer.bulk(i == 3 ? list : words[i]);
         }
         return out;
     }
-
-    private static void line(ByteBuf out, char type, int number) {
-        out.writeByte(type);
-        out.writeCharSequence(Integer.toString(number), StandardCharsets.US_ASCII);
-        out.writeByte('\r').writeByte('\n');
-    }
 }
--- a/src/main/java/fawndock/platform/ClientConnection.java
+++ b/src/main/java/fawndock/platform/ClientConnection.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import java.util.ArrayDeque;
+import java.util.List;
 
 /**
  * One client's connection: commands in, answers out in their order. What cannot be read gets an error line in its turn,
@@ -111,7 +112,9 @@
                 place.error(e.getMessage());
             }
         } else if (words.length == 1 && ClientCommand.is(words[0], "PING")) {
-            place.answer(Unpooled.copiedBuffer("+PONG\r\n", java.nio.charset.StandardCharsets.US_ASCII));
+            ByteBuf out = Unpooled.buffer(8);
+            new ReplyWriter(out).simple("PONG");
+            place.answer(out);
         } else {
             place.error("ERR unknown command");
         }
@@ -184,7 +187,7 @@
 
     /** Answers what is open as failed. */
     void failOpen() {
-        for (Place place : java.util.List.copyOf(places)) {
+        for (Place place : List.copyOf(places)) {
             if (place.answer == null && place.host >= 0) {
                 front.gone(place.host);
                 place.error("ERR stopping");
--- a/src/main/java/fawndock/platform/ClientFront.java
+++ b/src/main/java/fawndock/platform/ClientFront.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFuture;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -87,7 +88,7 @@
 
     private void check() {
         long now = now();
-        java.util.List.copyOf(connections).forEach(c -> c.check(now));
+        List.copyOf(connections).forEach(c -> c.check(now));
         next = host.alarms().after(CHECK_MICROS, this::check);
     }
 
@@ -129,12 +130,12 @@
     /** Connections close from now on as soon as nothing is open on them; new ones are still taken. */
     void closeQuiet() {
         closing = true;
-        java.util.List.copyOf(connections).forEach(ClientConnection::endIfQuiet);
+        List.copyOf(connections).forEach(ClientConnection::endIfQuiet);
     }
 
     /** Ends all that is open as failed. */
     void failOpen() {
-        java.util.List.copyOf(connections).forEach(ClientConnection::failOpen);
+        List.copyOf(connections).forEach(ClientConnection::failOpen);
     }
 
     boolean closing() {
@@ -149,7 +150,7 @@
 
     void close() {
         host.alarms().cancel(next);
-        java.util.List.copyOf(connections).forEach(ClientConnection::end);
+        List.copyOf(connections).forEach(ClientConnection::end);
         stopListening();
     }
 
@@ -164,8 +165,4 @@
     int connections() {
         return connections.size();
     }
-
-    int open() {
-        return ids.size();
-    }
 }
--- a/src/main/java/fawndock/platform/PlatformConfig.java
+++ b/src/main/java/fawndock/platform/PlatformConfig.java
@@ -93,14 +93,9 @@
 
     /** HOST:PORT, as the platform writes it. */
     static Address address(String key, String text) {
-        int colon = text.lastIndexOf(':');
-        try {
-            int port = Integer.parseInt(text.substring(colon + 1));
-            if (colon > 0 && port > 0 && port < 65_536) {
-                return new Address(text.substring(0, colon), port);
-            }
-        } catch (NumberFormatException e) {
-            // Told below.
+        Address address = Address.read(text);
+        if (address != null && address.port() > 0) {
+            return address;
         }
         throw new WireException("'" + key + "' is '" + text + "', HOST:PORT is expected");
     }
--- a/src/main/java/fawndock/platform/PlatformNode.java
+++ b/src/main/java/fawndock/platform/PlatformNode.java
@@ -14,6 +14,7 @@
 import fawndock.host.MicroClock;
 import fawndock.host.OpenAttempt;
 import fawndock.host.OpenRequest;
+import fawndock.settings.Address;
 import io.netty.channel.ChannelFuture;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -48,7 +49,7 @@
     private final Promise<Void> listed = Promise.promise();
     private CatalogWatch catalog;
     private long reportAt;
-    private fawndock.settings.Address discovery;
+    private Address discovery;
 
     /** Made on the context that it belongs to. */
     PlatformNode(Vertx vertx, PlatformConfig config, Function<Settings, Gatekeeper> maker) {
@@ -95,7 +96,7 @@
         return front.listen(config.listen());
     }
 
-    private void follow(fawndock.settings.Address address) {
+    private void follow(Address address) {
         CatalogWatch before = catalog;
         discovery = address;
         boolean[] heard = new boolean[1];
--- a/src/main/java/fawndock/platform/Rehearsal.java
+++ b/src/main/java/fawndock/platform/Rehearsal.java
@@ -13,6 +13,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -124,7 +125,7 @@
         private final ReplyReader reader = new ReplyReader(64 << 10, 1_024, 0);
 
         @Override
-        public void channelActive(io.netty.channel.ChannelHandlerContext handler) {
+        public void channelActive(ChannelHandlerContext handler) {
             send(next());
         }
 
--- a/src/main/java/fawndock/platform/Wire.java
+++ b/src/main/java/fawndock/platform/Wire.java
@@ -55,11 +55,6 @@
     /** The other side ended it, or it broke; not told after {@link #close}. */
     abstract void ended();
 
-    /** Whether bytes have come that are not used up. */
-    final boolean keeps() {
-        return kept.isReadable();
-    }
-
     final ChannelFuture send(ByteBuf bytes) {
         return context.writeAndFlush(bytes);
     }
--- a/src/main/java/fawndock/platform/WorkerCall.java
+++ b/src/main/java/fawndock/platform/WorkerCall.java
@@ -70,13 +70,12 @@
         finish(Result.CONNECT_FAILED);
     }
 
-    /** Its reply has come; returns whether the connection is of further use. */
-    boolean replied(WorkerAnswer answer) {
+    /** Its reply has come. */
+    void replied(WorkerAnswer answer) {
         if (answer.result() == Result.OK && result() == null) {
             host.deliver(open, this, () -> exchange.serve(answer.value()));
         }
         finish(answer.result(), answer.load(), answer.units());
-        return answer.sound();
     }
 
     /** What came cannot be read: the worker answered, and the work may have run. */
--- a/src/main/java/fawndock/platform/WorkerPools.java
+++ b/src/main/java/fawndock/platform/WorkerPools.java
@@ -6,7 +6,9 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 /**
@@ -129,7 +131,6 @@
     private final long idleMicros;
     private final Map<String, Pool> pools = new HashMap<>();
     private int open;
-    private long refused;
 
     /**
      * No connection is open yet.
@@ -165,8 +166,8 @@
     }
 
     /** Forgets all workers but these. */
-    void keep(java.util.Set<String> servers) {
-        java.util.List.copyOf(pools.keySet()).stream().filter(s -> !servers.contains(s)).forEach(this::forget);
+    void keep(Set<String> servers) {
+        List.copyOf(pools.keySet()).stream().filter(s -> !servers.contains(s)).forEach(this::forget);
     }
 
     /** Gives a call a connection, now or when one is up, or tells it that there is none. */
@@ -187,7 +188,6 @@
             }
         }
         if (open >= most && !evict()) {
-            refused++;
             call.unconnected();
             return;
         }
@@ -226,12 +226,7 @@
         return open;
     }
 
-    /** Attempts that got no connection since all were in use. */
-    long refused() {
-        return refused;
-    }
-
     void close() {
-        java.util.List.copyOf(pools.keySet()).forEach(this::forget);
+        List.copyOf(pools.keySet()).forEach(this::forget);
     }
 }
--- a/src/main/java/fawndock/settings/Args.java
+++ b/src/main/java/fawndock/settings/Args.java
@@ -141,14 +141,12 @@
     }
 
     public Address addressOf(String text) {
-        int colon = text.lastIndexOf(':');
-        String host = colon < 0 ? "" : text.substring(0, colon).replaceAll("^\\[|\\]$", "");
-        String port = colon < 0 ? "" : text.substring(colon + 1);
-        if (host.isEmpty() || !port.matches("[0-9]{1,5}") || Integer.parseInt(port) > 65_535) {
+        Address address = Address.read(text);
+        if (address == null) {
             wrong("'" + text + "' is not an address", "HOST:PORT");
             return new Address("", 0);
         }
-        return new Address(host, Integer.parseInt(port));
+        return address;
     }
 
     /** Notes the names that nobody asked for. */
--- a/src/main/java/fawndock/standin/CatalogStandIn.java
+++ b/src/main/java/fawndock/standin/CatalogStandIn.java
@@ -4,8 +4,6 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
@@ -13,9 +11,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** The platform's catalog on a free loopback port: the whole list, and a watch that goes on with lines told to it. */
-public final class CatalogStandIn implements AutoCloseable {
-    private final ServerSocket listener;
-    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+public final class CatalogStandIn extends Listener {
     private final Set<OutputStream> watches = ConcurrentHashMap.newKeySet();
     private final AtomicInteger watched = new AtomicInteger();
     private volatile String whole;
@@ -23,8 +19,7 @@
     /** Serves this whole list, a JSON object. */
     public CatalogStandIn(String whole) throws IOException {
         this.whole = whole;
-        listener = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
-        thread(this::accept);
+        begin();
     }
 
     /** A list as the catalog writes it: an id, an address and a status for each worker. */
@@ -38,46 +33,22 @@
         return text.append("]}").toString();
     }
 
-    private static void thread(Runnable what) {
-        Thread thread = new Thread(what, "stand-in");
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    private void accept() {
-        while (!listener.isClosed()) {
-            try {
-                Socket socket = listener.accept();
-                open.add(socket);
-                thread(() -> serve(socket));
-            } catch (IOException e) {
-                return; // Closed.
-            }
+    @Override
+    void serve(Socket socket) throws IOException {
+        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        OutputStream out = socket.getOutputStream();
+        String asked = in.readLine();
+        for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
+            // The header fields say nothing of use.
         }
-    }
-
-    private void serve(Socket socket) {
-        try {
-            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-            OutputStream out = socket.getOutputStream();
-            String asked = in.readLine();
-            for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
-                // The header fields say nothing of use.
-            }
-            if (asked != null && asked.contains("stream=1")) {
-                send(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-                watches.add(out);
-                watched.incrementAndGet();
-                in.readLine(); // Until the other side has left.
-            } else if (asked != null) {
-                String body = whole;
-                send(out, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
-            }
-            socket.close();
-        } catch (IOException e) {
-            // The connection is over.
-        } finally {
-            open.remove(socket);
+        if (asked != null && asked.contains("stream=1")) {
+            send(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            watches.add(out);
+            watched.incrementAndGet();
+            in.readLine(); // Until the other side has left.
+        } else if (asked != null) {
+            String body = whole;
+            send(out, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
         }
     }
 
@@ -107,21 +78,9 @@
         return watched.get();
     }
 
-    public int port() {
-        return listener.getLocalPort();
-    }
-
     /** Ends the watches that are open. */
     public void cut() throws IOException {
         watches.clear();
-        for (Socket socket : open) {
-            socket.close();
-        }
-    }
-
-    @Override
-    public void close() throws IOException {
-        listener.close();
-        cut();
+        closeOpen();
     }
 }
--- a/src/main/java/fawndock/standin/RespServer.java
+++ b/src/main/java/fawndock/standin/RespServer.java
@@ -6,13 +6,10 @@
 import io.netty.buffer.Unpooled;
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -20,7 +17,7 @@
  * A server of RESP2 on a free loopback port, a thread for each connection; what it answers is given as bytes, so that
  * it can also answer what no server should. Stands in for the platform's workers and its counter.
  */
-public final class RespServer implements AutoCloseable {
+public final class RespServer extends Listener {
     /** Answers commands, each on its connection's own thread. */
     public interface Behaviour {
         void command(List<String> words, Link link) throws IOException, InterruptedException;
@@ -51,48 +48,21 @@
         }
     }
 
-    private static final int MOST_CONNECTIONS = 512;
-    private final ServerSocket listener;
     private final Behaviour behaviour;
-    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
-    private final AtomicInteger accepted = new AtomicInteger();
     private final AtomicInteger commands = new AtomicInteger();
 
     /** Listens from now on. */
     public RespServer(Behaviour behaviour) throws IOException {
         this.behaviour = behaviour;
-        listener = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
-        thread(this::accept);
+        begin();
     }
 
-    private static void thread(Runnable what) {
-        Thread thread = new Thread(what, "stand-in");
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    private void accept() {
-        while (!listener.isClosed()) {
-            try {
-                Socket socket = listener.accept();
-                accepted.incrementAndGet();
-                if (open.size() >= MOST_CONNECTIONS) {
-                    socket.close();
-                    continue;
-                }
-                open.add(socket);
-                thread(() -> serve(socket));
-            } catch (IOException e) {
-                return; // Closed.
-            }
-        }
-    }
-
-    private void serve(Socket socket) {
+    @Override
+    void serve(Socket socket) throws IOException {
         CommandReader reader = new CommandReader(CommandReader.Limits.SERVER);
         ByteBuf in = Unpooled.buffer();
         byte[] part = new byte[8_192];
-        try (socket) {
+        try {
             Link link = new Link(socket);
             for (int n = socket.getInputStream().read(part); n >= 0; n = socket.getInputStream().read(part)) {
                 in.discardReadBytes().writeBytes(part, 0, n);
@@ -101,42 +71,18 @@
                     behaviour.command(Arrays.stream(words).map(w -> new String(w, StandardCharsets.ISO_8859_1)).toList(), link);
                 }
             }
-        } catch (IOException | ProtocolException e) {
+        } catch (ProtocolException e) {
             // The connection is over.
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } finally {
-            open.remove(socket);
         }
     }
 
-    public int port() {
-        return listener.getLocalPort();
-    }
-
-    /** Connections taken so far. */
-    public int accepted() {
-        return accepted.get();
-    }
-
     /** Commands read so far. */
     public int commands() {
         return commands.get();
     }
 
-    /** Connections open now. */
-    public int open() {
-        return open.size();
-    }
-
-    @Override
-    public void close() throws IOException {
-        listener.close();
-        for (Socket socket : open) {
-            socket.close();
-        }
-    }
-
     /** Answers as the platform's worker does when all is well: the value names the request's id. */
     public static Behaviour worker() {
         return (words, link) -> link.send(served("value of " + words.get(2), "recent_ms=7,throughput=2.5,backlog=0"));
--- a/src/test/java/fawndock/platform/ClientsTest.java
+++ b/src/test/java/fawndock/platform/ClientsTest.java
@@ -105,13 +105,11 @@
     @Test
     void tooManyCommandsAtOnceEndTheConnectionAfterTheFirst() throws Exception {
         try (Service service = new Service(RespServer.worker(), RespServer.counter()); RespClient bad = service.client()) {
-            CountDownLatch none = new CountDownLatch(0);
             StringBuilder all = new StringBuilder();
             for (int i = 0; i < 200; i++) {
                 all.append(RespClient.command(service.request("look")));
             }
             bad.send(all.toString());
-            none.await();
             int answers = 0;
             String last = "";
             for (String answer = bad.answer(); answer != null; answer = bad.answer()) {
--- a/src/test/java/fawndock/platform/TroubleTest.java
+++ b/src/test/java/fawndock/platform/TroubleTest.java
@@ -1,8 +1,8 @@
 package fawndock.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import fawndock.standin.CatalogStandIn;
@@ -10,6 +10,7 @@
 import fawndock.standin.RespServer;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -158,12 +159,7 @@
 
     @Test
     void anUnusableConfigurationIsToldInOneLine() {
-        try {
-            PlatformConfig.read(java.util.Map.of());
-        } catch (PlatformConfig.UnusableException e) {
-            assertEquals("RELAY_CONFIG is not set: the path of the configuration is expected", e.getMessage());
-            return;
-        }
-        assertNotEquals("", "", "nothing was told");
+        assertEquals("RELAY_CONFIG is not set: the path of the configuration is expected", assertThrows(
+                PlatformConfig.UnusableException.class, () -> PlatformConfig.read(Map.of())).getMessage());
     }
 }
