--- a/src/main/java/fawndock/platform/PlatformDaemon.java
+++ b/src/main/java/fawndock/platform/PlatformDaemon.java
@@ -56,8 +56,8 @@
         Signal.handle(new Signal("TERM"), s -> stop());
         Signal.handle(new Signal("INT"), s -> stop());
         context.runOnContext(v -> {
-            new Rehearsal(vertx, config, maker).run().compose(rehearsed -> {
-                node = new PlatformNode(vertx, config, maker);
+            new WarmUp(vertx, config, maker).run().compose(warm -> {
+                node = new PlatformNode(vertx, new Sockets(context), config, maker);
                 return node.start();
             }).onSuccess(listens -> ready.countDown()).onFailure(e -> {
                 LOG.error("cannot listen on {}: {}", config.listen(), e.toString());
--- a/src/main/java/fawndock/platform/PlatformNode.java
+++ b/src/main/java/fawndock/platform/PlatformNode.java
@@ -52,8 +52,8 @@
     private Address discovery;
 
     /** Made on the context that it belongs to. */
-    PlatformNode(Vertx vertx, PlatformConfig config, Function<Settings, Gatekeeper> maker) {
-        this.sockets = new Sockets(vertx.getOrCreateContext());
+    PlatformNode(Vertx vertx, Sockets sockets, PlatformConfig config, Function<Settings, Gatekeeper> maker) {
+        this.sockets = sockets;
         this.config = config;
         Settings settings = config.settings();
         alarms = new Alarms(vertx);
@@ -90,8 +90,8 @@
                         config.settings().gatekeepers(), config.listen()));
     }
 
-    /** Listens with this list of workers and follows no catalog: for {@link Rehearsal}. */
-    ChannelFuture rehearse(CatalogList list) {
+    /** Listens with this list of workers and follows no catalog: for {@link WarmUp}. */
+    ChannelFuture warmUp(CatalogList list) {
         take(list, Listing.COMPLETE);
         return front.listen(config.listen());
     }
--- a/src/main/java/fawndock/platform/Rehearsal.java
+++ b/src/main/java/fawndock/platform/WarmUp.java
@@ -7,20 +7,16 @@
 import fawndock.Gatekeeper.Settings;
 import fawndock.resp.CommandReader;
 import fawndock.resp.ProtocolException;
+import fawndock.resp.Reply;
 import fawndock.resp.ReplyReader;
 import fawndock.resp.ReplyWriter;
 import fawndock.settings.Address;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
@@ -29,12 +25,12 @@
 
 /**
  * Sends requests of its own through a throw-away gatekeeper of the same parts to a throw-away worker and counter, over
- * sockets within this machine, before the first client is let in. Guards against a start under full load with code that
+ * connections in memory, before the first client is let in. Guards against a start under full load with code that
  * is still being compiled, which costs four times as much: on a third of a core the first seconds' requests ran out of
  * time, and their clients' retries with them. Delays a start by its time limit at most.
  */
-final class Rehearsal {
-    private static final Logger LOG = LoggerFactory.getLogger(Rehearsal.class);
+final class WarmUp {
+    private static final Logger LOG = LoggerFactory.getLogger(WarmUp.class);
     private static final int REQUESTS = 700;
     private static final int AT_ONCE = 6;
     private static final long LIMIT_MILLIS = 2_500;
@@ -42,65 +38,52 @@
     private final PlatformConfig config;
     private final Function<Settings, Gatekeeper> maker;
     private final Promise<Void> done = Promise.promise();
-    private Path folder;
     private PlatformNode node;
-    private Channel behind;
     private int sent;
     private int answered;
+    private int served;
 
-    Rehearsal(Vertx vertx, PlatformConfig config, Function<Settings, Gatekeeper> maker) {
+    WarmUp(Vertx vertx, PlatformConfig config, Function<Settings, Gatekeeper> maker) {
         this.vertx = vertx;
         this.config = config;
         this.maker = maker;
     }
 
-    /** Never fails: a rehearsal that does not work out is no reason not to start. */
+    /** Never fails: a warm-up that does not work out is no reason not to start. */
     Future<Void> run() {
         long from = System.nanoTime();
         try {
-            // A name of its own: one drawn at random would load the security providers, a tenth of a start.
-            folder = Path.of(System.getProperty("java.io.tmpdir"), "fawndock-" + ProcessHandle.current().pid() + "-"
-                    + System.nanoTime());
-            Files.createDirectory(folder);
-            Address back = new Address(folder.resolve("b").toString(), 0);
-            Address front = new Address(folder.resolve("f").toString(), 0);
-            Sockets sockets = new Sockets(vertx.getOrCreateContext());
+            Address back = new Address("worker", 1);
+            Address front = new Address("gatekeeper", 1);
+            Sockets sockets = new MemorySockets(vertx.getOrCreateContext());
             CatalogList list = new CatalogList(1, true, List.of(new Gatekeeper.Server("w", config.settings().zone(), 0,
                     Gatekeeper.Availability.RUNNING, 1, 0)), Map.of("w", back));
-            PlatformConfig own = new PlatformConfig("rehearsal", front, back, back, config.settings(), list,
+            PlatformConfig own = new PlatformConfig("warm-up", front, back, back, config.settings(), list,
                     config.sockets(), config.memoryBytes(), config.connectMicros(), config.idleMicros(), config.mostUnits());
-            node = new PlatformNode(vertx, own, maker);
-            behind = sockets.listen(back, Back::new).channel();
-            node.rehearse(list).addListener(bound -> {
+            node = new PlatformNode(vertx, sockets, own, maker);
+            sockets.listen(back, Back::new);
+            node.warmUp(list).addListener(bound -> {
                 for (int i = 0; i < AT_ONCE && bound.isSuccess(); i++) {
-                    sockets.connect(front, config.connectMicros(), new Client());
+                    Client client = new Client();
+                    sockets.connect(front, config.connectMicros(), client).addListener(made -> client.ask());
                 }
             });
             vertx.setTimer(LIMIT_MILLIS, id -> done.tryComplete());
-        } catch (IOException | RuntimeException e) {
-            LOG.warn("no rehearsal: {}", e.toString());
+        } catch (RuntimeException e) {
+            LOG.warn("no warm-up: {}", e.toString());
             done.tryComplete();
         }
         return done.future().onComplete(v -> {
-            LOG.info("rehearsed with {} of {} requests answered in {} ms", answered, sent, (System.nanoTime() - from) / 1_000_000);
-            close();
+            LOG.info("warmed up with {} of {} requests answered in {} ms", answered, sent, (System.nanoTime() - from) / 1_000_000);
+            if (node != null) {
+                node.close();
+            }
         });
     }
 
-    private void close() {
-        if (node != null) {
-            node.close();
-        }
-        if (behind != null) {
-            behind.close();
-        }
-        for (String name : new String[] {"b", "f", ""}) {
-            try {
-                Files.deleteIfExists(folder.resolve(name));
-            } catch (IOException | RuntimeException e) {
-                LOG.debug("left behind: {}", e.toString());
-            }
-        }
+    /** Requests that were served, not refused or failed. */
+    int served() {
+        return served;
     }
 
     private ByteBuf next() {
@@ -124,16 +107,16 @@
     private final class Client extends Wire {
         private final ReplyReader reader = new ReplyReader(64 << 10, 1_024, 0);
 
-        @Override
-        public void channelActive(ChannelHandlerContext handler) {
+        void ask() {
             send(next());
         }
 
         @Override
         void bytes(ByteBuf in) {
             try {
-                while (reader.next(in) != null) {
+                for (Reply reply = reader.next(in); reply != null; reply = reader.next(in)) {
                     answered++;
+                    served += reply.isBulk() ? 1 : 0;
                     if (answered >= REQUESTS) {
                         done.tryComplete();
                         close();
--- a/src/main/java/fawndock/standin/PlatformWorld.java
+++ b/src/main/java/fawndock/standin/PlatformWorld.java
@@ -13,7 +13,7 @@
  */
 public final class PlatformWorld implements AutoCloseable {
     private static final String SETTINGS = """
-            {"azs":["a"],"caps":{"cancel":true,"conn-idle-us":30000000,"connect-timeout-us":250000,"max-attempts":3,
+            {"azs":["a"],"caps":{"cancel":true,"conn-idle-us":3000000,"connect-timeout-us":250000,"max-attempts":3,
             "max-open":5000,"max-retry-after-us":2000000,"may-duplicate":false,"probes":false,"retry-after":true},
             "classes":[{"name":"look","aim-us":800000,"deadline-us":1000000,"idempotency":"idempotent","worth":1.0},
             {"name":"note","aim-us":500000,"deadline-us":1000000,"idempotency":"deduplicated","group":"all",
--- a/src/test/java/fawndock/platform/OutcomesTest.java
+++ b/src/test/java/fawndock/platform/OutcomesTest.java
@@ -110,6 +110,30 @@
         }
     }
 
+    /** What stands behind an answer may be the beginning of something; it is no part of the next one. */
+    @Test
+    void halfAReplyBehindAnAnswerIsNoPartOfTheNext() throws Exception {
+        RespServer.Behaviour more = (words, link) -> link.send(RespServer.served("value of " + words.get(2), "backlog=0") + "*3\r\n$5\r\nva");
+        try (Service service = new Service(more, RespServer.counter()); RespClient client = service.client()) {
+            for (int i = 0; i < 3; i++) {
+                String[] words = service.request("pay");
+                assertEquals("value of " + words[2], client.ask(words));
+                Thread.sleep(10); // Longer than a connection rests: it would be used again.
+            }
+            assertEquals(3, service.world.worker.accepted());
+        }
+    }
+
+    /** The worker would close at 3 s; a request that met that would end as a reset. */
+    @Test
+    void idleConnectionsAreClosedBeforeTheWorkerDoes() throws Exception {
+        try (Service service = new Service(RespServer.worker(), RespServer.counter()); RespClient client = service.client()) {
+            client.ask(service.request("look"));
+            assertEquals(1, service.world.worker.open());
+            Await.until(() -> service.world.worker.open() == 0);
+        }
+    }
+
     @Test
     void anAttemptGivenUpEndsItsConnection() throws Exception {
         CountDownLatch asked = new CountDownLatch(1);
--- a/src/test/java/fawndock/platform/TroubleTest.java
+++ b/src/test/java/fawndock/platform/TroubleTest.java
@@ -5,13 +5,28 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import fawndock.Gatekeeper.Count;
+import fawndock.Gatekeeper.Counted;
+import fawndock.Gatekeeper.Result;
+import fawndock.Logic;
+import fawndock.host.Alarms;
+import fawndock.host.MicroClock;
+import fawndock.settings.Address;
 import fawndock.standin.CatalogStandIn;
+import fawndock.standin.PlatformWorld;
 import fawndock.standin.RespClient;
 import fawndock.standin.RespServer;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
@@ -70,19 +85,37 @@
         }
     }
 
-    /** Its sockets within the machine and their folder are gone when clients come. */
+    /** It answers its own requests in memory: no socket but TCP, no file, no request to a worker or the counter. */
     @Test
-    void theRehearsalLeavesNothingBehind() throws Exception {
-        String own = "fawndock-" + ProcessHandle.current().pid() + "-";
+    void theWarmUpLeavesNothingBehind() throws Exception {
         try (Service service = new Service(RespServer.worker(), RespServer.counter()); RespClient client = service.client()) {
+            assertEquals(0, service.world.worker.accepted());
+            assertEquals(0, service.world.counter.accepted());
             assertEquals("served", ask(service, client, "look"));
-            Await.until(() -> Files.readAllLines(Path.of("/proc/net/unix")).stream().noneMatch(line -> line.contains(own)));
+            assertTrue(Files.readAllLines(Path.of("/proc/net/unix")).stream().noneMatch(line -> line.contains("fawndock")));
             try (Stream<Path> left = Files.list(Path.of(System.getProperty("java.io.tmpdir")))) {
-                assertTrue(left.noneMatch(each -> each.getFileName().toString().startsWith(own)));
+                assertTrue(left.noneMatch(each -> each.getFileName().toString().startsWith("fawndock-" + ProcessHandle.current().pid())));
             }
         }
     }
 
+    @Test
+    void theWarmUpServes() throws Exception {
+        Vertx vertx = Vertx.vertx();
+        try (PlatformWorld world = new PlatformWorld(RespServer.worker(), RespServer.counter())) {
+            PlatformConfig config = PlatformConfig.read(world.variables());
+            CompletableFuture<Integer> served = new CompletableFuture<>();
+            vertx.getOrCreateContext().runOnContext(v -> {
+                WarmUp warmUp = new WarmUp(vertx, config, Logic::new);
+                warmUp.run().onComplete(done -> served.complete(warmUp.served()));
+            });
+            assertTrue(served.get(20, TimeUnit.SECONDS) > 0);
+            assertEquals(0, world.worker.accepted());
+        } finally {
+            vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+        }
+    }
+
     /** Connections to a counter that is no longer told about, and says nothing, are not kept. */
     @Test
     void connectionsToACounterOfBeforeEnd() throws Exception {
@@ -96,6 +129,46 @@
         }
     }
 
+    /** The stand-in sends no empty lines: to its client its watches are dead after a while. */
+    @Test
+    void aSilentWatchIsMadeAgain() throws Exception {
+        try (Service service = new Service(RespServer.worker(), RespServer.counter())) {
+            Await.until(() -> service.world.catalog.watched() >= 2);
+            assertEquals("served", ask(service, service.client(), "look"));
+        }
+    }
+
+    /** A call that has timed out keeps its place: the next one is not told its total. */
+    @Test
+    void aLateTotalIsNobodyElses() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        AtomicInteger many = new AtomicInteger();
+        Vertx vertx = Vertx.vertx();
+        List<Counted> told = new CopyOnWriteArrayList<>();
+        try (RespServer server = new RespServer((words, link) -> {
+            release.await();
+            link.send("$1\r\n" + many.incrementAndGet() + "\r\n");
+        })) {
+            Context context = vertx.getOrCreateContext();
+            AddGetCounter[] counter = new AddGetCounter[1];
+            context.runOnContext(v -> {
+                counter[0] = new AddGetCounter(new Sockets(context), new Address("127.0.0.1", server.port()), new MicroClock(),
+                        new Alarms(vertx), new Figures(), 250_000, 50_000, told::add);
+                counter[0].count(new Count("name", 1, 4_000_000));
+            });
+            Await.until(() -> told.size() == 1);
+            assertEquals(Result.TIMEOUT, told.get(0).result());
+            context.runOnContext(v -> {
+                counter[0].count(new Count("name", 1, 4_000_000));
+                release.countDown();
+            });
+            Await.until(() -> told.size() == 2);
+            assertEquals(2.0, told.get(1).total());
+        } finally {
+            vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+        }
+    }
+
     @Test
     void anEmptyListEmptiesNothing() throws Exception {
         try (Service service = new Service(RespServer.worker(), RespServer.counter()); RespClient client = service.client()) {
@@ -158,8 +231,21 @@
     }
 
     @Test
-    void anUnusableConfigurationIsToldInOneLine() {
+    void anUnusableConfigurationIsToldInOneLine() throws Exception {
         assertEquals("RELAY_CONFIG is not set: the path of the configuration is expected", assertThrows(
                 PlatformConfig.UnusableException.class, () -> PlatformConfig.read(Map.of())).getMessage());
+        try (PlatformWorld world = new PlatformWorld(RespServer.worker(), RespServer.counter())) {
+            String file = world.variables().get("RELAY_CONFIG");
+            String good = Files.readString(Path.of(file));
+            for (String[] each : new String[][] {{"{\"name\":", "not JSON"}, {"[]", "not a JSON object"}, {"{}", "'settings' is missing"},
+                {good.replace("\"listen\":\"127", "\"listen\":\"nowhere\",\"was\":\"127"), "'listen' is 'nowhere', HOST:PORT is expected"},
+                {good.replace(":" + world.catalog.port(), ":0"), "'discovery' is '127.0.0.1:0', HOST:PORT is expected"},
+                {good.replace("8c1f30d27a5be964", "xyz"), "'seed' is 'xyz'"}, {good.replace("at_most_once", "ever"), "unknown word 'ever'"},
+                {good.replace("\"name\":\"small\"", "\"title\":\"small\""), "'name' is missing"}}) {
+                world.write(each[0]);
+                String line = assertThrows(PlatformConfig.UnusableException.class, () -> PlatformConfig.read(world.variables())).getMessage();
+                assertTrue(line.startsWith(file + ": ") && line.contains(each[1]) && !line.contains("\n"), line);
+            }
+        }
     }
 }
--- a/src/test/java/fawndock/resp/ReplyReaderTest.java
+++ b/src/test/java/fawndock/resp/ReplyReaderTest.java
@@ -67,6 +67,27 @@
         }
     }
 
+    @Property(tries = 500)
+    void noCommandIsKeptBeyondItsLimit(@ForAll byte[] noise, @ForAll long seed) {
+        CommandReader reader = new CommandReader(new CommandReader.Limits(200, 8, 0));
+        ByteBuf in = Unpooled.buffer();
+        Random random = new Random(seed);
+        String[] begins = {"*4\r\n", "$150\r\n", "$200\r\n", "$60000000\r\n", "*8\r\n$1\r\n", "*1\r\n$190\r\n"};
+        try {
+            for (int i = 0; i < 400; i++) {
+                in.writeCharSequence(begins[random.nextInt(begins.length)], StandardCharsets.US_ASCII);
+                in.writeBytes(noise);
+                for (byte[][] words = reader.next(in); words != null; words = reader.next(in)) {
+                    assertTrue(java.util.Arrays.stream(words).mapToInt(w -> w.length).sum() <= 200);
+                }
+                in.discardReadBytes();
+                assertTrue(in.readableBytes() <= 200 + noise.length + 64, "kept " + in.readableBytes());
+            }
+        } catch (ProtocolException e) {
+            // Told as soon as it was seen.
+        }
+    }
+
     @Example
     void lengthsAreCheckedBeforeTheirBytesCome() {
         for (String each : new String[] {"$3000000000\r\n", "$65\r\n", "$-2\r\n", "*5\r\n", "*-7\r\n", "$x\r\n", ":1x\r\n", "hello",
