--- a/src/main/java/fawndock/platform/AddGetCounter.java
+++ b/src/main/java/fawndock/platform/AddGetCounter.java
@@ -91,6 +91,11 @@
             connection.write(command, whole -> call.written |= whole);
         }
 
+        @Override
+        public boolean waits() {
+            return !out.isEmpty();
+        }
+
         @Override
         public void up() {
             line.pause = FIRST_PAUSE;
--- a/src/main/java/fawndock/platform/ClientConnection.java
+++ b/src/main/java/fawndock/platform/ClientConnection.java
@@ -16,6 +16,8 @@
 final class ClientConnection extends Wire {
     /** Commands that wait for their answers on one connection; more are told to be too many, and it ends. */
     private static final int MOST_OPEN = 64;
+    /** What it may send while it does not read its answers; more ends it. */
+    private static final int MOST_KEPT = 128 << 10;
     private static final CommandReader.Limits LIMITS = new CommandReader.Limits(66 << 10, 8, 0);
 
     /** One command's place among the answers. */
@@ -85,13 +87,18 @@
         if (endingSince != 0) {
             in.skipBytes(in.readableBytes());
         }
-        boolean half = reader.within() || in.isReadable();
+        // Bytes are taken also while answers are not read, so that its leaving is seen; commands are not.
+        if (fullSince != 0 && in.readableBytes() > MOST_KEPT) {
+            end();
+            return;
+        }
+        boolean half = fullSince == 0 && (reader.within() || in.isReadable());
         halfSince = !half ? 0 : any || halfSince == 0 ? front.now() : halfSince;
         flush();
     }
 
     private byte[][] next(ByteBuf in) throws ProtocolException {
-        return endingSince != 0 || isOver() ? null : reader.next(in);
+        return endingSince != 0 || fullSince != 0 || isOver() ? null : reader.next(in);
     }
 
     private void command(byte[][] words) {
@@ -143,17 +150,16 @@
             send(out);
             if (!writable() && fullSince == 0) {
                 fullSince = quietSince;
-                reading(false);
             }
         }
-        if (places.isEmpty() && (endingSince != 0 || front.closing() && halfSince == 0)) {
+        if (places.isEmpty() && (endingSince != 0 || front.closing() && halfSince == 0 && !holds())) {
             end();
         }
     }
 
     /** Whether nothing is open on it and it has been so for the time given. */
     boolean quiet(long now, long micros) {
-        return places.isEmpty() && halfSince == 0 && now - quietSince >= micros;
+        return places.isEmpty() && halfSince == 0 && !holds() && now - quietSince >= micros;
     }
 
     boolean spoke() {
@@ -180,7 +186,7 @@
 
     /** Closes it when nothing is open on it, not even half a command. */
     void endIfQuiet() {
-        if (places.isEmpty() && halfSince == 0) {
+        if (places.isEmpty() && halfSince == 0 && !holds()) {
             end();
         }
     }
@@ -195,9 +201,10 @@
         }
     }
 
-    /** Closes it after what was written. */
+    /** Closes it after what was written; what comes meanwhile is not read. */
     void end() {
-        close();
+        halfClose();
+        front.lingers(this);
         ended();
     }
 
@@ -205,7 +212,7 @@
     public void channelWritabilityChanged(ChannelHandlerContext handler) {
         if (fullSince != 0 && writable()) {
             fullSince = 0;
-            reading(true);
+            again();
         }
         handler.fireChannelWritabilityChanged();
     }
--- a/src/main/java/fawndock/platform/ClientFront.java
+++ b/src/main/java/fawndock/platform/ClientFront.java
@@ -30,10 +30,13 @@
     private final int mostOpen;
     private final long mostBytes;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    /** Those that are half-closed: nothing of theirs is owed, but each still holds its descriptor. */
+    private final Set<ClientConnection> lingering = new LinkedHashSet<>();
     private final Set<String> ids = new HashSet<>();
     private Channel server;
     private long bytes;
     private boolean closing;
+    private Runnable whenEmpty;
     private Alarms.Alarm next;
 
     /**
@@ -62,6 +65,11 @@
     }
 
     void accepted(ClientConnection connection) {
+        while (connections.size() + lingering.size() >= mostConnections && !lingering.isEmpty()) {
+            ClientConnection oldest = lingering.iterator().next();
+            lingering.remove(oldest);
+            oldest.lingerEnd();
+        }
         if (connections.size() >= mostConnections && !evict()) {
             connection.close();
         } else {
@@ -69,6 +77,16 @@
         }
     }
 
+    /** A connection was half-closed. */
+    void lingers(ClientConnection connection) {
+        if (lingering.add(connection)) {
+            connection.whenClosed(() -> {
+                lingering.remove(connection);
+                checkEmpty();
+            });
+        }
+    }
+
     private boolean evict() {
         ClientConnection idle = null;
         for (ClientConnection each : connections) {
@@ -125,17 +143,37 @@
 
     void left(ClientConnection connection) {
         connections.remove(connection);
+        checkEmpty();
     }
 
-    /** Connections close from now on as soon as nothing is open on them; new ones are still taken. */
-    void closeQuiet() {
+    /**
+     * No connection is accepted any more, and those there are close as soon as nothing is open on them, not even half a
+     * command.
+     *
+     * @param empty is run when the last is closed, on both sides: then nothing is owed to anybody
+     */
+    void drain(Runnable empty) {
         closing = true;
+        whenEmpty = empty;
+        stopListening();
         List.copyOf(connections).forEach(ClientConnection::endIfQuiet);
+        checkEmpty();
+    }
+
+    private void checkEmpty() {
+        if (whenEmpty != null && connections.isEmpty() && lingering.isEmpty()) {
+            Runnable what = whenEmpty;
+            whenEmpty = null;
+            what.run();
+        }
     }
 
-    /** Ends all that is open as failed. */
+    /** Answers all that is open as failed and closes every connection, in this turn: nothing is read after it. */
     void failOpen() {
-        List.copyOf(connections).forEach(ClientConnection::failOpen);
+        for (ClientConnection each : List.copyOf(connections)) {
+            each.failOpen();
+            each.end();
+        }
     }
 
     boolean closing() {
--- a/src/main/java/fawndock/platform/PlatformDaemon.java
+++ b/src/main/java/fawndock/platform/PlatformDaemon.java
@@ -22,7 +22,11 @@
     /** Of that time, in which clients that have connections are served as before. */
     private static final double SERVING = 0.9;
     /** After that time all is to be answered, and SIGKILL comes this much later at the soonest, less a reserve. */
-    private static final long LAST_MICROS = 500_000;
+    private static final long LAST_MICROS = 450_000;
+    /** New connections keep coming for so long. */
+    private static final long COMING_MICROS = 450_000;
+    /** Left to what was answered last, and to the closes, on their way. */
+    private static final long LEAVE_MICROS = 100_000;
     private final Map<String, String> variables;
     private final CountDownLatch ready = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -107,14 +111,10 @@
         }
         LOG.info("stopping with {} requests open", node.host().open());
         long longest = Math.min(LONGEST_MICROS, longestMicros);
-        after((long) (SERVING * longest), () -> {
-            node.front().stopListening();
-            node.front().closeQuiet();
-            node.host().whenIdle(() -> end(0));
-        });
+        after(Math.max(COMING_MICROS, (long) (SERVING * longest)), () -> node.front().drain(() -> end(0)));
         after(longest + LAST_MICROS, () -> {
             node.front().failOpen(); // Answered as failed by us, rather than cut off by SIGKILL.
-            end(0);
+            after(LEAVE_MICROS, () -> end(0));
         });
     }
 
--- a/src/main/java/fawndock/platform/PlatformNode.java
+++ b/src/main/java/fawndock/platform/PlatformNode.java
@@ -19,7 +19,10 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.util.ArrayDeque;
+import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -47,7 +50,9 @@
     private final AddGetCounter counter;
     private final ClientFront front;
     private final Promise<Void> listed = Promise.promise();
-    private CatalogWatch catalog;
+    /** The newest last; those before it until it has spoken. */
+    private final ArrayDeque<CatalogWatch> catalogs = new ArrayDeque<>();
+    private final SplittableRandom random;
     private long reportAt;
     private Address discovery;
 
@@ -56,6 +61,7 @@
         this.sockets = sockets;
         this.config = config;
         Settings settings = config.settings();
+        random = new SplittableRandom(settings.seed() ^ 0x5DEECE66DL); // Not the decisions' own numbers.
         alarms = new Alarms(vertx);
         host = new GatekeeperHost(clock, alarms, this, settings.limits().maxAttempts(), 1, figures);
         host.decideBy(maker.apply(settings));
@@ -97,17 +103,19 @@
     }
 
     private void follow(Address address) {
-        CatalogWatch before = catalog;
+        List<CatalogWatch> before = List.copyOf(catalogs);
         discovery = address;
         boolean[] heard = new boolean[1];
-        catalog = new CatalogWatch(sockets, address, alarms, list -> {
-            if (!heard[0] && before != null) {
-                before.close(); // Not sooner: until the new one speaks, what the old one tells counts.
+        CatalogWatch catalog = new CatalogWatch(sockets, address, alarms, random.split(), list -> {
+            if (!heard[0]) {
+                heard[0] = true;
+                before.forEach(CatalogWatch::close); // Not sooner: until the new one speaks, what they tell counts.
+                catalogs.removeAll(before);
             }
-            heard[0] = true;
             take(list, list.whole() ? Listing.COMPLETE : Listing.CHANGES);
             listed.tryComplete();
         });
+        catalogs.add(catalog);
         catalog.start();
     }
 
@@ -162,9 +170,7 @@
         front.close();
         counter.close();
         workers.close();
-        if (catalog != null) {
-            catalog.close();
-        }
+        catalogs.forEach(CatalogWatch::close);
         alarms.close();
     }
 
@@ -180,12 +186,12 @@
 
     @Override
     public void watch() {
-        catalog.start();
+        catalogs.getLast().start();
     }
 
     @Override
     public void fetch() {
-        catalog.start();
+        catalogs.getLast().start();
     }
 
     @Override
--- a/src/main/java/fawndock/platform/ReplyConnection.java
+++ b/src/main/java/fawndock/platform/ReplyConnection.java
@@ -17,6 +17,9 @@
         /** The connection is up. */
         void up();
 
+        /** Whether a reply is owed by the other side: bytes that come while none is are noise, and end the connection. */
+        boolean waits();
+
         /** A reply has come; {@code more} says that bytes stand behind it. */
         void reply(Reply reply, boolean more);
 
@@ -69,6 +72,9 @@
 
     private void read(ByteBuf in) {
         try {
+            if (!owner.waits()) {
+                throw new ProtocolException("bytes that nobody asked for");
+            }
             for (Reply reply = reader.next(in); reply != null; reply = closed ? null : reader.next(in)) {
                 owner.reply(reply, in.isReadable());
             }
--- a/src/main/java/fawndock/platform/Sockets.java
+++ b/src/main/java/fawndock/platform/Sockets.java
@@ -31,6 +31,11 @@
         loop = ((ContextInternal) context).nettyEventLoop();
     }
 
+    /** Runs something after all that has come in this turn of the loop has been taken in. */
+    final void later(Runnable what) {
+        loop.execute(what);
+    }
+
     /** Connects; the handler takes the bytes. The future ends in a later turn of the loop. */
     ChannelFuture connect(Address address, long limitMicros, ChannelHandler handler) {
         return new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(handler)
--- a/src/main/java/fawndock/platform/WorkerCall.java
+++ b/src/main/java/fawndock/platform/WorkerCall.java
@@ -4,7 +4,6 @@
 import fawndock.host.GatekeeperHost;
 import fawndock.host.OpenAttempt;
 import fawndock.host.OpenRequest;
-import io.netty.buffer.ByteBuf;
 import java.util.Map;
 
 /**
@@ -12,9 +11,12 @@
  * replies come in order. Whether it can have run goes by the platform's table: never before the last byte is written.
  */
 final class WorkerCall extends OpenAttempt {
+    /** Connections that may end under it before it is sent. */
+    private static final int MOST_AGAIN = 3;
     private final WorkerPools pools;
     private final PlatformExchange exchange;
     private WorkerPools.Lease lease;
+    private int again;
     private boolean sent;
     private boolean written;
     private long abandonAt;
@@ -53,16 +55,44 @@
             return false;
         }
         lease = ready;
+        // After all that has come in this turn: a client that has closed by now has gone, and a connection that the
+        // worker has closed by now, or on which it sent a second copy, is of no use.
+        pools.later(this::write);
+        return true;
+    }
+
+    private void write() {
+        if (result() != null || lease == null || sent) {
+            return;
+        }
+        // What is left to the client as it is written, also on a connection that came up late.
+        long left = (abandonAt - host.clock().now()) / 1_000;
+        if (left <= 0) {
+            leave(Result.UNUSED);
+            return;
+        }
         sent = true;
-        long left = Math.max(1, (abandonAt - host.clock().now()) / 1_000);
-        ByteBuf command = exchange.command().toWorker(left);
-        ready.connection().write(command, whole -> {
+        lease.connection().write(exchange.command().toWorker(left), whole -> {
             written |= whole;
             if (!whole) {
                 broken();
             }
         });
-        return true;
+    }
+
+    /** Whether its command was handed to the network, in part at least. */
+    boolean sent() {
+        return sent;
+    }
+
+    /** The connection it had is over, or of no use, before anything was sent: it gets another. */
+    void again() {
+        lease = null;
+        if (++again > MOST_AGAIN) {
+            unconnected();
+        } else if (result() == null) {
+            pools.lease(server, this);
+        }
     }
 
     /** No connection came up. */
@@ -98,10 +128,20 @@
         leave(sent ? Result.CANCELLED : Result.UNUSED);
     }
 
+    /** A client that has left has nothing begun for it any more, whatever the settings say of cancelling. */
+    @Override
+    public void leave() {
+        if (!sent) {
+            leave(Result.UNUSED);
+        }
+    }
+
     private void leave(Result how) {
         if (result() == null) {
-            if (lease != null) {
+            if (lease != null && sent) {
                 lease.abandon();
+            } else if (lease != null) {
+                lease.giveBack();
             }
             finish(how);
         }
--- a/src/main/java/fawndock/platform/WorkerPools.java
+++ b/src/main/java/fawndock/platform/WorkerPools.java
@@ -17,10 +17,10 @@
  */
 final class WorkerPools {
     /**
-     * A connection rests so long before it is used again. Guards against a second copy of an answer right behind it
-     * being taken for the next one's; may open a connection more when attempts come closer together.
+     * A connection rests so long before it is used again. Guards against a second copy of an answer, some milliseconds
+     * behind it, being taken for the next one's; may open a connection more when attempts come closer together.
      */
-    private static final long REST_MICROS = 3_000;
+    private static final long REST_MICROS = 30_000;
     private static final int LONGEST_VALUE = 64 << 10;
     private static final int LONGEST_LINE = 1_024;
     private static final int PARTS = 8;
@@ -54,6 +54,12 @@
             return connection;
         }
 
+        /** What comes while nothing was asked is a late second copy, or noise. */
+        @Override
+        public boolean waits() {
+            return call != null && call.sent();
+        }
+
         @Override
         public void up() {
             if (!call.connected(this)) {
@@ -63,10 +69,6 @@
 
         @Override
         public void reply(Reply reply, boolean more) {
-            if (call == null) {
-                abandon(); // Nothing was asked: a late second copy, or noise.
-                return;
-            }
             WorkerCall of = call;
             call = null;
             // Before it is told: what is sent on hearing of it may want the connection.
@@ -86,15 +88,19 @@
         public void spoilt(String why) {
             figures.error(why);
             gone();
-            if (call != null) {
+            if (call != null && call.sent()) {
                 call.spoilt();
+            } else if (call != null) {
+                call.again();
             }
         }
 
         @Override
         public void closed(boolean wasUp) {
             gone();
-            if (call != null && wasUp) {
+            if (call != null && wasUp && !call.sent()) {
+                call.again();
+            } else if (call != null && wasUp) {
                 call.broken();
             } else if (call != null) {
                 call.unconnected();
@@ -116,8 +122,14 @@
             open--;
         }
 
+        /** Its attempt has ended before anything was sent on it. */
+        void giveBack() {
+            rest();
+        }
+
         /** Ends the connection. */
         void abandon() {
+            call = null;
             gone();
             connection.close();
         }
@@ -194,6 +206,11 @@
         new Lease(pool, call);
     }
 
+    /** Runs something after all that has come in this turn of the loop has been taken in. */
+    void later(Runnable what) {
+        sockets.later(what);
+    }
+
     private boolean evict() {
         Lease oldest = null;
         for (Pool pool : pools.values()) {
--- a/src/main/java/fawndock/resp/ProtocolException.java
+++ b/src/main/java/fawndock/resp/ProtocolException.java
@@ -4,7 +4,8 @@
 public final class ProtocolException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    ProtocolException(String told) {
+    /** With what is told of it. */
+    public ProtocolException(String told) {
         super("ERR Protocol error: " + told, null, false, false);
     }
 }
