Tests that force the crossings at the ends; sends wait until Netty has told the closes of a turn

nothingIsSentForAClientThatLeftWhileItWasCounted and nothingIsSentAgainForAClientThatLeftMeanwhile were red with one hop: Netty tells an inactive channel in a task after the read, so an attempt that an answer of the same turn started was written before the client's close was told. Sockets.later goes through two tasks.

--- a/src/main/java/fawndock/platform/PlatformDaemon.java
+++ b/src/main/java/fawndock/platform/PlatformDaemon.java
@@ -100,6 +100,16 @@
         return ready.await(time, unit);
     }
 
+    /** The context that all of it runs on. */
+    Context context() {
+        return context;
+    }
+
+    /** What serves, once it does. */
+    PlatformNode node() {
+        return node;
+    }
+
     private void drain() {
         if (stopping) {
             return;
--- a/src/main/java/fawndock/platform/Sockets.java
+++ b/src/main/java/fawndock/platform/Sockets.java
@@ -33,7 +33,7 @@
 
     /** Runs something after all that has come in this turn of the loop has been taken in. */
     final void later(Runnable what) {
-        loop.execute(what);
+        loop.execute(() -> loop.execute(what)); // Netty tells closes of this turn in tasks of their own.
     }
 
     /** Connects; the handler takes the bytes. The future ends in a later turn of the loop. */
--- a/src/main/java/fawndock/standin/CatalogStandIn.java
+++ b/src/main/java/fawndock/standin/CatalogStandIn.java
@@ -14,6 +14,8 @@
 public final class CatalogStandIn extends Listener {
     private final Set<OutputStream> watches = ConcurrentHashMap.newKeySet();
     private final AtomicInteger watched = new AtomicInteger();
+    private final Object voice = new Object();
+    private boolean silent;
     private volatile String whole;
 
     /** Serves this whole list, a JSON object. */
@@ -41,6 +43,15 @@
         for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
             // The header fields say nothing of use.
         }
+        synchronized (voice) {
+            while (silent) {
+                try {
+                    voice.wait();
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
+        }
         if (asked != null && asked.contains("stream=1")) {
             send(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             watches.add(out);
@@ -73,6 +84,25 @@
         whole = list;
     }
 
+    /** Calls are accepted and get no answer, as while the catalog is down; told false, all that wait get theirs. */
+    public void silent(boolean on) {
+        synchronized (voice) {
+            silent = on;
+            voice.notifyAll();
+        }
+    }
+
+    /** Tells all watches these bytes of a chunked answer, as they are. */
+    public void chunk(String bytes) {
+        for (OutputStream out : watches) {
+            try {
+                send(out, Integer.toHexString(bytes.length()) + "\r\n" + bytes + "\r\n");
+            } catch (IOException e) {
+                watches.remove(out); // It has left.
+            }
+        }
+    }
+
     /** Watches begun so far. */
     public int watched() {
         return watched.get();
--- a/src/main/java/fawndock/standin/RespClient.java
+++ b/src/main/java/fawndock/standin/RespClient.java
@@ -37,6 +37,15 @@
         return this;
     }
 
+    /** The same where no exception can be told of; a failure is thrown unchecked. */
+    public void sendUnchecked(String bytes) {
+        try {
+            send(bytes);
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
     /** The next answer: a line as it stands, the text of a bulk string, or null when the other side has closed. */
     public String answer() throws IOException {
         String line = line();
--- /dev/null
+++ b/src/test/java/fawndock/platform/CatalogEndsTest.java
@@ -0,0 +1,152 @@
+package fawndock.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import fawndock.standin.CatalogStandIn;
+import fawndock.standin.RespClient;
+import fawndock.standin.RespServer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+
+/** The catalog falls silent, comes back, ends its watches or writes in other forms: no drain is missed. */
+class CatalogEndsTest {
+    private static void served(Service service, RespClient client) throws Exception {
+        String[] words = service.request("look");
+        assertEquals("value of " + words[2], client.ask(words));
+    }
+
+    /** The first worker drains and the second is ready, as the whole list and as a change. */
+    private static String drained(Service service, RespServer second, boolean whole) {
+        return CatalogStandIn.list(20, whole, "w1", "127.0.0.1:" + service.world.worker.port(), "draining", "w2",
+                "127.0.0.1:" + second.port(), "ready");
+    }
+
+    private static void goesToSecond(Service service, RespClient client, RespServer second) throws Exception {
+        Await.until(() -> {
+            served(service, client);
+            return second.commands() > 0;
+        });
+        int before = service.world.worker.commands();
+        for (int i = 0; i < 5; i++) {
+            served(service, client);
+        }
+        assertEquals(before, service.world.worker.commands());
+    }
+
+    @Test
+    void aChangeIsReadInAnyFormAndPieces() throws Exception {
+        try (Service service = new Service(RespServer.worker(), RespServer.counter()); RespClient client = service.client();
+                RespServer second = new RespServer(RespServer.worker())) {
+            Await.until(() -> service.world.catalog.watched() == 1);
+            String indented = "\n" + drained(service, second, false).replace(",", ",\n    ").replace("{", "{\n  ") + "\n";
+            for (int i = 0; i < indented.length(); i += 7) {
+                service.world.catalog.chunk(indented.substring(i, Math.min(indented.length(), i + 7)));
+            }
+            goesToSecond(service, client, second);
+            assertEquals(1, service.world.catalog.watched());
+        }
+    }
+
+    /** No moment without a call that waits: what a catalog that was silent tells at its return is heard. */
+    @Test
+    void aCallWaitsAllTheWhileThatTheCatalogIsSilent() throws Exception {
+        try (Service service = new Service(RespServer.worker(), RespServer.counter()); RespClient client = service.client();
+                RespServer second = new RespServer(RespServer.worker())) {
+            Await.until(() -> service.world.catalog.watched() == 1);
+            served(service, client);
+            service.world.catalog.silent(true);
+            AtomicBoolean waited = new AtomicBoolean(true);
+            AtomicBoolean watching = new AtomicBoolean(true);
+            Thread watcher = new Thread(() -> {
+                while (watching.get()) {
+                    waited.compareAndSet(true, service.world.catalog.open() > 0);
+                    Thread.onSpinWait();
+                }
+            });
+            watcher.start();
+            int before = service.world.catalog.accepted();
+            Await.until(() -> service.world.catalog.accepted() >= before + 3);
+            service.world.catalog.whole(drained(service, second, true));
+            service.world.catalog.silent(false);
+            Await.until(() -> service.world.catalog.watched() >= 2);
+            watching.set(false);
+            watcher.join();
+            assertTrue(waited.get());
+            service.world.catalog.tell(drained(service, second, false));
+            goesToSecond(service, client, second);
+        }
+    }
+
+    @Test
+    void aWatchThatEndsInsteadOfTellingIsMadeAgain() throws Exception {
+        try (Service service = new Service(RespServer.worker(), RespServer.counter()); RespClient client = service.client();
+                RespServer second = new RespServer(RespServer.worker())) {
+            for (int i = 1; i <= 5; i++) {
+                int many = i;
+                Await.until(() -> service.world.catalog.watched() == many);
+                service.world.catalog.cut();
+            }
+            Await.until(() -> service.world.catalog.watched() == 6);
+            service.world.catalog.tell(drained(service, second, true));
+            goesToSecond(service, client, second);
+        }
+    }
+
+    @Test
+    void anOlderListIsNotTaken() throws Exception {
+        try (Service service = new Service(RespServer.worker(), RespServer.counter()); RespClient client = service.client();
+                RespServer second = new RespServer(RespServer.worker())) {
+            Await.until(() -> service.world.catalog.watched() == 1);
+            service.world.catalog.tell(drained(service, second, false));
+            service.world.catalog.tell(CatalogStandIn.list(8, false, "w1", "127.0.0.1:" + service.world.worker.port(), "ready"));
+            goesToSecond(service, client, second);
+        }
+    }
+
+    /** A reload, and another before the first address has spoken: both are left when the newest speaks. */
+    @Test
+    void addressesOfBeforeAreLeftWhenTheNewestSpeaks() throws Exception {
+        try (Service service = new Service(RespServer.worker(), RespServer.counter()); RespClient client = service.client();
+                RespServer second = new RespServer(RespServer.worker());
+                CatalogStandIn mute = new CatalogStandIn(drained(service, second, true));
+                CatalogStandIn last = new CatalogStandIn(drained(service, second, true))) {
+            mute.silent(true);
+            last.silent(true);
+            service.world.configure(mute.port(), service.world.counter.port());
+            service.daemon.reload();
+            Await.until(() -> mute.accepted() > 0);
+            service.world.configure(last.port(), service.world.counter.port());
+            service.daemon.reload();
+            Await.until(() -> last.accepted() > 0);
+            served(service, client);
+            assertTrue(service.world.catalog.open() > 0);
+            last.silent(false);
+            Await.until(() -> last.watched() > 0 && service.world.catalog.open() == 0);
+            goesToSecond(service, client, second);
+            int calls = mute.accepted();
+            mute.silent(false);
+            Await.until(() -> mute.open() == 0);
+            assertEquals(calls, mute.accepted());
+        }
+    }
+
+    @Test
+    void aWatchIsMadeAnewWhileClientsFillTheirDescriptors() throws Exception {
+        try (Service service = new Service(RespServer.worker(), RespServer.counter(), 64)) {
+            Await.until(() -> service.world.catalog.watched() == 1);
+            CountDownLatch release = service.hold();
+            List<RespClient> idle = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                idle.add(service.client());
+            }
+            service.world.catalog.cut();
+            release.countDown();
+            Await.until(() -> service.world.catalog.watched() == 2);
+            served(service, service.client());
+        }
+    }
+}
--- a/src/test/java/fawndock/platform/Service.java
+++ b/src/test/java/fawndock/platform/Service.java
@@ -5,6 +5,7 @@
 import fawndock.standin.RespClient;
 import fawndock.standin.RespServer;
 import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -45,6 +46,22 @@
         return PlatformWorld.request(type, "large", 7, nextId++, "");
     }
 
+    /** Holds the event loop until the latch is counted down: what comes meanwhile is found all at once. */
+    CountDownLatch hold() throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        daemon.context().runOnContext(v -> {
+            held.countDown();
+            try {
+                release.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+        return release;
+    }
+
     /** Tells it to stop and waits for its end; returns the exit code. */
     int stop() throws InterruptedException {
         daemon.stop();
