--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -50,7 +50,8 @@
     private static final int SUBSET = 8, SHARERS = 4; // Servers a gatekeeper keeps to; gatekeepers a server.
     private static final int CANDIDATES = 16; // Servers looked at for a send.
     private static final double RETRY_SHARE = 0.1, RETRY_STORE = 10; // Further attempts for each first one.
-    private static final int MARGIN_ROUNDS = 2; // Rounds before the client gives up in which it is answered.
+    private static final int MARGIN_ROUNDS = 2; // Rounds before the client gives up in which it is answered,
+    private static final double MARGIN_PART = 0.1; // ... and the part of its time, if that is longer.
 
     private enum Kind { RATE, OPEN, CEILING }
 
@@ -276,7 +277,10 @@
         Plan plan = plans.computeIfAbsent(r.plan(), name -> new Plan(name, 0, 0, 0, 1, 0, 0, 0, 0, 0));
         Held q = new Held(r, type, plan, now);
         held.put(r.id(), q);
-        wakeAt(Math.max(now, r.giveUpAtMicros() - MARGIN_ROUNDS * settings.roundMicros()), "end:", q);
+        // Guards against a final answer that a core held up for a moment gives after the client's time is up. May
+        // fail a request whose answer would have come in the last part of its time.
+        double margin = MARGIN_PART * (r.giveUpAtMicros() - now);
+        wakeAt(r.giveUpAtMicros() - (long) Math.max(MARGIN_ROUNDS * settings.roundMicros(), margin), "end:", q);
         ask(q);
     }
 
