Sends wait for the reads of the next turn: a client's close stands behind its request

The request and the close lay behind each other in the socket of a connection that was accepted late; a read gives the request, the next turn's the close. Sockets.later runs what is sent after the next turn's reads.

--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -277,10 +277,11 @@
         Plan plan = plans.computeIfAbsent(r.plan(), name -> new Plan(name, 0, 0, 0, 1, 0, 0, 0, 0, 0));
         Held q = new Held(r, type, plan, now);
         held.put(r.id(), q);
-        // Guards against a final answer that a core held up for a moment gives after the client's time is up. May
-        // fail a request whose answer would have come in the last part of its time.
-        double margin = MARGIN_PART * (r.giveUpAtMicros() - now);
-        wakeAt(r.giveUpAtMicros() - (long) Math.max(MARGIN_ROUNDS * settings.roundMicros(), margin), "end:", q);
+        // Guards against a final answer that a core that was held up gives after the client's time. May fail a
+        // request whose answer would have come in the last part of its time.
+        long rounds = MARGIN_ROUNDS * settings.roundMicros();
+        double margin = Math.max(rounds, MARGIN_PART * (r.giveUpAtMicros() - now));
+        wakeAt(Math.max(now, r.giveUpAtMicros() - (long) margin), "end:", q);
         ask(q);
     }
 
--- a/src/main/java/fawndock/platform/Sockets.java
+++ b/src/main/java/fawndock/platform/Sockets.java
@@ -14,6 +14,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.internal.ContextInternal;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /**
@@ -31,9 +32,12 @@
         loop = ((ContextInternal) context).nettyEventLoop();
     }
 
-    /** Runs something after all that has come in this turn of the loop has been taken in. */
-    final void later(Runnable what) {
-        loop.execute(() -> loop.execute(what)); // Netty tells closes of this turn in tasks of their own.
+    /**
+     * Runs something after all that has come by now has been taken in: after the reads of the next turn, as a close
+     * stands behind the bytes that were read in this one.
+     */
+    void later(Runnable what) {
+        loop.execute(() -> loop.schedule(what, 0, TimeUnit.NANOSECONDS));
     }
 
     /** Connects; the handler takes the bytes. The future ends in a later turn of the loop. */
