--- a/src/main/java/fawndock/Logic.java
+++ b/src/main/java/fawndock/Logic.java
@@ -277,7 +277,7 @@
         Plan plan = plans.computeIfAbsent(r.plan(), name -> new Plan(name, 0, 0, 0, 1, 0, 0, 0, 0, 0));
         Held q = new Held(r, type, plan, now);
         held.put(r.id(), q);
-        // Guards against a final answer that a core that was held up gives after the client's time. May fail a
+        // Guards against a final answer after the client's time when a core was held up. May fail a
         // request whose answer would have come in the last part of its time.
         long rounds = MARGIN_ROUNDS * settings.roundMicros();
         double margin = Math.max(rounds, MARGIN_PART * (r.giveUpAtMicros() - now));
