An attempt whose worker was told to drain between the choice and the writing is not written

A turn that reads the counter's answer before the drain that lay there as long chose the draining worker and wrote to it. WorkerCall.write asks the pools, which the catalog tells (PlatformNode.take); the attempt ends as unused. Test aDrainThatCameWithTheChoiceIsKept: 2 for 1 without it.

--- a/src/main/java/fawndock/platform/PlatformNode.java
+++ b/src/main/java/fawndock/platform/PlatformNode.java
@@ -129,6 +129,7 @@
             } else if (list.addresses().containsKey(s.id())) {
                 workers.address(s.id(), list.addresses().get(s.id()));
             }
+            workers.draining(s.id(), s.availability() == Availability.STOPPING);
         });
         host.tell(new Servers(listing, list.servers()));
     }
--- a/src/main/java/fawndock/platform/WorkerCall.java
+++ b/src/main/java/fawndock/platform/WorkerCall.java
@@ -67,7 +67,9 @@
         }
         // What is left to the client as it is written, also on a connection that came up late.
         long left = (abandonAt - host.clock().now()) / 1_000;
-        if (left <= 0) {
+        // A drain that was told between the choice of the worker and now: guards against a turn in which a request was
+        // read before the drain that lay there as long. May take a free attempt more; nothing was sent.
+        if (left <= 0 || pools.closedToNew(server)) {
             leave(Result.UNUSED);
             return;
         }
--- a/src/main/java/fawndock/platform/WorkerPools.java
+++ b/src/main/java/fawndock/platform/WorkerPools.java
@@ -30,6 +30,7 @@
     private static final class Pool {
         final Address address;
         final ArrayDeque<Lease> idle = new ArrayDeque<>(4);
+        boolean draining;
 
         Pool(Address address) {
             this.address = address;
@@ -169,6 +170,20 @@
         }
     }
 
+    /** A worker is said to drain, or to be ready. */
+    void draining(String server, boolean is) {
+        Pool pool = pools.get(server);
+        if (pool != null) {
+            pool.draining = is;
+        }
+    }
+
+    /** Whether a worker is said to drain or to be gone: nothing new may be written to it. */
+    boolean closedToNew(String server) {
+        Pool pool = pools.get(server);
+        return pool == null || pool.draining;
+    }
+
     /** A worker is gone: its idle connections end now, those in use with their attempt. */
     void forget(String server) {
         Pool pool = pools.remove(server);
--- a/src/test/java/fawndock/platform/CatalogEndsTest.java
+++ b/src/test/java/fawndock/platform/CatalogEndsTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 
 /** The catalog falls silent, comes back, ends its watches or writes in other forms: no drain is missed. */
@@ -81,6 +82,37 @@
         }
     }
 
+    /** The counter's answer is read first, the drain in the same turn: the worker was chosen before it was told to drain. */
+    @Test
+    void aDrainThatCameWithTheChoiceIsKept() throws Exception {
+        AtomicReference<CountDownLatch> counting = new AtomicReference<>(new CountDownLatch(0));
+        RespServer.Behaviour counter = (words, link) -> {
+            counting.get().await();
+            RespServer.counter().command(words, link);
+        };
+        try (Service service = new Service(RespServer.worker(), counter); RespClient client = service.client();
+                RespServer second = new RespServer(RespServer.worker())) {
+            Await.until(() -> service.world.catalog.watched() == 1);
+            served(service, client);
+            Thread.sleep(80); // The connection has rested and is used again.
+            CountDownLatch counted = new CountDownLatch(1);
+            counting.set(counted);
+            int calls = service.world.counter.commands();
+            String[] words = service.request("look");
+            client.send(RespClient.command(words));
+            Await.until(() -> service.world.counter.commands() > calls);
+            CountDownLatch release = service.hold();
+            counted.countDown();
+            Thread.sleep(20);
+            service.world.catalog.tell(drained(service, second, false));
+            Thread.sleep(20);
+            release.countDown();
+            assertEquals("value of " + words[2], client.answer());
+            assertEquals(1, service.world.worker.commands());
+            assertEquals(1, second.commands());
+        }
+    }
+
     @Test
     void aWatchThatEndsInsteadOfTellingIsMadeAgain() throws Exception {
         try (Service service = new Service(RespServer.worker(), RespServer.counter()); RespClient client = service.client();
