--- a/src/main/java/fawndock/platform/WorkerCall.java
+++ b/src/main/java/fawndock/platform/WorkerCall.java
@@ -88,7 +88,7 @@
     }
 
     /** The connection it had is over, or of no use, before anything was sent: it gets another. */
-    void again() {
+    private void again() {
         lease = null;
         if (++again > MOST_AGAIN) {
             unconnected();
@@ -110,14 +110,22 @@
         finish(answer.result(), answer.load(), answer.units());
     }
 
-    /** What came cannot be read: the worker answered, and the work may have run. */
+    /** What came cannot be read: where it was asked, the worker answered, and the work may have run. */
     void spoilt() {
-        finish(Result.ERROR);
+        if (sent) {
+            finish(Result.ERROR);
+        } else {
+            again();
+        }
     }
 
     /** The connection broke. */
     void broken() {
-        finish(written ? Result.RESET : Result.CONNECT_FAILED);
+        if (sent) {
+            finish(written ? Result.RESET : Result.CONNECT_FAILED);
+        } else {
+            again();
+        }
     }
 
     @Override
@@ -143,7 +151,7 @@
             if (lease != null && sent) {
                 lease.abandon();
             } else if (lease != null) {
-                lease.giveBack();
+                lease.rest();
             }
             finish(how);
         }
--- a/src/main/java/fawndock/platform/WorkerPools.java
+++ b/src/main/java/fawndock/platform/WorkerPools.java
@@ -89,26 +89,23 @@
         public void spoilt(String why) {
             figures.error(why);
             gone();
-            if (call != null && call.sent()) {
+            if (call != null) {
                 call.spoilt();
-            } else if (call != null) {
-                call.again();
             }
         }
 
         @Override
         public void closed(boolean wasUp) {
             gone();
-            if (call != null && wasUp && !call.sent()) {
-                call.again();
-            } else if (call != null && wasUp) {
+            if (call != null && wasUp) {
                 call.broken();
             } else if (call != null) {
                 call.unconnected();
             }
         }
 
-        private void rest() {
+        /** Nothing is out on it any more: it waits for its next attempt. */
+        void rest() {
             call = null;
             if (pools.containsValue(pool)) {
                 idleSince = now.getAsLong();
@@ -123,11 +120,6 @@
             open--;
         }
 
-        /** Its attempt has ended before anything was sent on it. */
-        void giveBack() {
-            rest();
-        }
-
         /** Ends the connection. */
         void abandon() {
             call = null;
