A reload takes effect though the parent process ignores SIGHUP

Cause: the gateways never reloaded. Started under nohup, a gateway inherits SIGHUP as ignored, the JVM then installs no handler and Signal.handle returns SIG_IGN, which PlatformProcess did not look at. Discovery moved, the former address refused connections, and no drain was heard of.

--- a/src/main/java/fawndock/platform/PlatformProcess.java
+++ b/src/main/java/fawndock/platform/PlatformProcess.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +14,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /**
  * The gateway's process on the platform: start, configuration reload on SIGHUP, shutdown on SIGTERM
@@ -49,6 +51,9 @@
   private long longestDeadlineMicros;
   private volatile int exitCode;
 
+  /** Stands in for the reload signal where it is ignored; else null. */
+  private ConfigFileWatcher configFileWatcher;
+
   /** Creates a process that is not started, with the platform's environment variables. */
   public PlatformProcess(Map<String, String> variables) {
     this.variables = variables;
@@ -72,6 +77,9 @@
     installSignalHandlers();
     context.runOnContext(v -> start(config, policyFactory));
     finished.await();
+    if (configFileWatcher != null) {
+      configFileWatcher.close();
+    }
     closeVertx();
     return exitCode;
   }
@@ -185,8 +193,26 @@
   }
 
   private void installSignalHandlers() {
-    Signal.handle(new Signal("HUP"), signal -> reload());
-    Signal.handle(new Signal("TERM"), signal -> stop());
-    Signal.handle(new Signal("INT"), signal -> stop());
+    if (!installSignalHandler("HUP", this::reload)) {
+      Path file = Path.of(variables.get(PlatformConfigReader.VARIABLE_CONFIG_FILE));
+      LOG.warn("watching the configuration file instead, file={}", file);
+      configFileWatcher = new ConfigFileWatcher(file, this::reload);
+      configFileWatcher.start();
+    }
+    installSignalHandler("TERM", this::stop);
+    installSignalHandler("INT", this::stop);
+  }
+
+  /**
+   * Installs a handler; returns false when the parent process has the signal ignored, as nohup does
+   * with SIGHUP: the JVM leaves such a signal ignored.
+   */
+  private static boolean installSignalHandler(String name, Runnable handler) {
+    SignalHandler previous = Signal.handle(new Signal(name), signal -> handler.run());
+    boolean isIgnored = previous == SignalHandler.SIG_IGN;
+    if (isIgnored) {
+      LOG.warn("signal ignored by the parent process, it has no effect, signal=SIG{}", name);
+    }
+    return !isIgnored;
   }
 }
--- /dev/null
+++ b/src/test/java/fawndock/platform/SignalTest.java
@@ -0,0 +1,74 @@
+package fawndock.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import fawndock.fake.FakeDiscoveryServer;
+import fawndock.fake.FakePlatform;
+import fawndock.fake.FakeRespServer;
+import fawndock.fake.RespClient;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Signals as a gateway process of its own receives them. */
+class SignalTest {
+  /** Starts a gateway with SIGHUP ignored, as nohup and some supervisors do. */
+  private static Process startWithHangupIgnored(FakePlatform platform) throws IOException {
+    ProcessBuilder builder =
+        new ProcessBuilder(
+                "sh",
+                "-c",
+                "trap '' HUP; exec \"$@\"",
+                "sh",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "fawndock.Main",
+                "platform")
+            .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+            .redirectError(ProcessBuilder.Redirect.DISCARD);
+    builder.environment().putAll(platform.environment());
+    return builder.start();
+  }
+
+  private static void sendSignal(String name, Process process) throws Exception {
+    new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+  }
+
+  /** A gateway that missed its reload would use the former discovery, and miss drains. */
+  @Test
+  void reload_takesEffectAlthoughTheParentProcessIgnoresTheSignal() throws Exception {
+    try (FakePlatform platform =
+            new FakePlatform(FakeRespServer.backendHandler(), FakeRespServer.counterHandler());
+        FakeDiscoveryServer newDiscovery =
+            new FakeDiscoveryServer(
+                FakeDiscoveryServer.endpointListJson(
+                    9, true, "w1", "127.0.0.1:" + platform.backend.port(), "ready"))) {
+      Process process = startWithHangupIgnored(platform);
+      try {
+        Await.until(() -> platform.discovery.watchCount() > 0);
+        platform.writeConfiguration(newDiscovery.port(), platform.counter.port());
+        sendSignal("HUP", process);
+        Await.until(() -> newDiscovery.watchCount() > 0);
+        Await.until(() -> isServed(platform));
+        sendSignal("TERM", process);
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+      } finally {
+        process.destroyForcibly();
+      }
+    }
+  }
+
+  private static boolean isServed(FakePlatform platform) {
+    String[] command = FakePlatform.requestCommand("look", "large", 7, System.nanoTime(), "");
+    try (RespClient client = new RespClient(platform.port())) {
+      return client.call(command).equals("value of " + command[2]);
+    } catch (IOException e) {
+      return false; // Not listening yet.
+    }
+  }
+}
