A reload that comes during the warm-up is not lost

Found while looking for the fault of the ignored SIGHUP elsewhere; callers would have seen sends to draining endpoints until the next reload.

Cause: PlatformProcess.reload dropped the new configuration while no gateway existed, for the 2.5 s of the warm-up, and the gateway was made from the older one. Handlers were installed only after the file had been read, so that an earlier SIGHUP ended the process.

Change: handlers first, then the file; a configuration that comes during the warm-up is the one that the gateway starts with.

--- a/src/main/java/fawndock/platform/PlatformProcess.java
+++ b/src/main/java/fawndock/platform/PlatformProcess.java
@@ -3,6 +3,7 @@
 import fawndock.policy.GatewayPolicy;
 import fawndock.policy.config.PolicyConfig;
 import io.vertx.core.Context;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
@@ -47,8 +48,11 @@
   private Vertx vertx;
   private volatile Context context;
   private PlatformGateway gateway;
+
+  /** The configuration that the gateway starts with; newer than the first after a reload. */
+  private PlatformConfig currentConfig;
+
   private boolean isShuttingDown;
-  private long longestDeadlineMicros;
   private volatile int exitCode;
 
   /** Stands in for the reload signal where it is ignored; else null. */
@@ -64,18 +68,17 @@
    * reported on standard error in one line.
    */
   public int run(Function<PolicyConfig, GatewayPolicy> policyFactory) throws InterruptedException {
-    PlatformConfig config;
+    vertx = createVertx();
+    context = vertx.getOrCreateContext();
+    // Before the file is read: a signal would end the process, or its change be missed.
+    installSignalHandlers();
     try {
-      config = PlatformConfigReader.read(variables);
+      start(policyFactory);
     } catch (InvalidConfigException e) {
       System.err.println(e.getMessage());
-      return EXIT_INVALID_CONFIG;
+      exitCode = EXIT_INVALID_CONFIG;
+      finished.countDown();
     }
-    longestDeadlineMicros = config.longestDeadlineMicros();
-    vertx = createVertx();
-    context = vertx.getOrCreateContext();
-    installSignalHandlers();
-    context.runOnContext(v -> start(config, policyFactory));
     finished.await();
     if (configFileWatcher != null) {
       configFileWatcher.close();
@@ -97,16 +100,18 @@
                     .setClassPathResolvingEnabled(false)));
   }
 
-  /** Warms up, and then starts the gateway. */
-  private void start(PlatformConfig config, Function<PolicyConfig, GatewayPolicy> policyFactory) {
+  private synchronized void start(Function<PolicyConfig, GatewayPolicy> policyFactory)
+      throws InvalidConfigException {
+    PlatformConfig config = PlatformConfigReader.read(variables);
+    context.runOnContext(v -> warmUpAndServe(config, policyFactory));
+  }
+
+  private void warmUpAndServe(
+      PlatformConfig config, Function<PolicyConfig, GatewayPolicy> policyFactory) {
+    currentConfig = config;
     new WarmUp(vertx, config, policyFactory)
         .run()
-        .compose(
-            warmedUp -> {
-              gateway =
-                  new PlatformGateway(vertx, new TcpTransport(context), config, policyFactory);
-              return gateway.start();
-            })
+        .compose(warmedUp -> serve(policyFactory))
         .onSuccess(started -> listening.countDown())
         .onFailure(
             e -> {
@@ -115,6 +120,11 @@
             });
   }
 
+  private Future<?> serve(Function<PolicyConfig, GatewayPolicy> policyFactory) {
+    gateway = new PlatformGateway(vertx, new TcpTransport(context), currentConfig, policyFactory);
+    return gateway.start();
+  }
+
   /**
    * Reads the configuration file, on the calling thread, and takes its addresses. An unusable file
    * is logged and changes nothing.
@@ -122,17 +132,20 @@
   public synchronized void reload() {
     try {
       PlatformConfig newConfig = PlatformConfigReader.read(variables);
-      context.runOnContext(
-          v -> {
-            if (gateway != null) {
-              gateway.reload(newConfig);
-            }
-          });
+      context.runOnContext(v -> takeConfig(newConfig));
     } catch (InvalidConfigException e) {
       LOG.error("configuration rejected, keeping the current one, reason={}", e.getMessage());
     }
   }
 
+  private void takeConfig(PlatformConfig newConfig) {
+    if (gateway != null) {
+      gateway.reload(newConfig);
+    } else {
+      currentConfig = newConfig; // Still warming up.
+    }
+  }
+
   /** Shuts down gracefully, and then ends {@link #run}. Idempotent. */
   public void stop() {
     if (finished.getCount() > 0) {
@@ -166,7 +179,10 @@
     }
     LOG.info("shutting down, openRequests={}", gateway.runner().openCount());
     new GracefulShutdown(
-            vertx, gateway.clientListener(), longestDeadlineMicros, () -> finish(EXIT_STOPPED))
+            vertx,
+            gateway.clientListener(),
+            currentConfig.longestDeadlineMicros(),
+            () -> finish(EXIT_STOPPED))
         .start();
   }
 
@@ -193,10 +209,10 @@
   }
 
   private void installSignalHandlers() {
-    if (!installSignalHandler("HUP", this::reload)) {
-      Path file = Path.of(variables.get(PlatformConfigReader.VARIABLE_CONFIG_FILE));
+    String file = variables.get(PlatformConfigReader.VARIABLE_CONFIG_FILE);
+    if (!installSignalHandler("HUP", this::reload) && file != null) {
       LOG.warn("watching the configuration file instead, file={}", file);
-      configFileWatcher = new ConfigFileWatcher(file, this::reload);
+      configFileWatcher = new ConfigFileWatcher(Path.of(file), this::reload);
       configFileWatcher.start();
     }
     installSignalHandler("TERM", this::stop);
--- a/src/test/java/fawndock/platform/SignalTest.java
+++ b/src/test/java/fawndock/platform/SignalTest.java
@@ -1,14 +1,18 @@
 package fawndock.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import fawndock.fake.FakeDiscoveryServer;
 import fawndock.fake.FakePlatform;
 import fawndock.fake.FakeRespServer;
 import fawndock.fake.RespClient;
+import fawndock.policy.DefaultGatewayPolicy;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
@@ -63,6 +67,56 @@
     }
   }
 
+  /** Reloaded while it warms up, a gateway uses the new discovery from its start. */
+  @Test
+  void reload_duringTheWarmUp_isNotLost() throws Exception {
+    try (FakePlatform platform =
+            new FakePlatform(FakeRespServer.backendHandler(), FakeRespServer.counterHandler());
+        FakeDiscoveryServer newDiscovery =
+            new FakeDiscoveryServer(
+                FakeDiscoveryServer.endpointListJson(
+                    9, true, "w1", "127.0.0.1:" + platform.backend.port(), "ready"))) {
+      PlatformProcess process = new PlatformProcess(platform.environment());
+      CountDownLatch warmUpStarted = new CountDownLatch(1);
+      CountDownLatch reloaded = new CountDownLatch(1);
+      CompletableFuture<Integer> exitCode =
+          CompletableFuture.supplyAsync(() -> runToItsEnd(process, warmUpStarted, reloaded));
+      assertTrue(warmUpStarted.await(20, TimeUnit.SECONDS));
+      platform.writeConfiguration(newDiscovery.port(), platform.counter.port());
+      process.reload();
+      assertNull(process.gateway(), "reloaded after the warm-up");
+      reloaded.countDown();
+      assertTrue(process.awaitReady(30, TimeUnit.SECONDS));
+      Await.until(() -> newDiscovery.watchCount() > 0);
+      assertEquals(0, platform.discovery.acceptedCount());
+      process.stop();
+      assertEquals(0, exitCode.get(20, TimeUnit.SECONDS));
+    }
+  }
+
+  /** Runs a process; its warm-up, which makes the first policy, begins and is held up there. */
+  private static int runToItsEnd(
+      PlatformProcess process, CountDownLatch warmUpStarted, CountDownLatch reloaded) {
+    try {
+      return process.run(
+          config -> {
+            warmUpStarted.countDown();
+            awaitUninterrupted(reloaded);
+            return new DefaultGatewayPolicy(config);
+          });
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static void awaitUninterrupted(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   private static boolean isServed(FakePlatform platform) {
     String[] command = FakePlatform.requestCommand("look", "large", 7, System.nanoTime(), "");
     try (RespClient client = new RespClient(platform.port())) {
