A closed fake server refuses connections: it waits for its accept thread

Cause: the fake, not the gateway. A listening socket whose accept call is under way goes on taking connections after ServerSocket.close has returned, until that call returns. The request is then written whole, the connection is reset, the attempt may have run, and '-ERR failed' is the right answer.

Change: close waits for the accept thread, then ends its connections. AttemptOutcomeTest is unchanged.

--- a/src/main/java/fawndock/fake/LoopbackServer.java
+++ b/src/main/java/fawndock/fake/LoopbackServer.java
@@ -1,6 +1,7 @@
 package fawndock.fake;
 
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -10,13 +11,15 @@
 
 /**
  * Listens on a free loopback port and serves each connection on a thread of its own, up to a limit.
- * {@link #close} ends all connections and may be called more than once.
+ * {@link #close} ends all connections and may be called more than once; once it has returned,
+ * connections are refused.
  */
 abstract class LoopbackServer implements AutoCloseable {
   private static final int MAX_CONNECTIONS = 512;
   private final ServerSocket listener;
   private final Set<Socket> openCount = ConcurrentHashMap.newKeySet();
   private final AtomicInteger acceptedCount = new AtomicInteger();
+  private Thread acceptThread;
 
   LoopbackServer() throws IOException {
     listener = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
@@ -24,13 +27,14 @@
 
   /** Accepts connections from now on; to be called when the subclass is ready to serve. */
   final void startAccepting() {
-    thread(this::accept);
+    acceptThread = startThread(this::accept);
   }
 
-  private static void thread(Runnable task) {
+  private static Thread startThread(Runnable task) {
     Thread thread = new Thread(task, "fake server");
     thread.setDaemon(true);
     thread.start();
+    return thread;
   }
 
   private void accept() {
@@ -43,7 +47,7 @@
           continue;
         }
         openCount.add(socket);
-        thread(
+        startThread(
             () -> {
               try (socket) {
                 serve(socket);
@@ -86,6 +90,23 @@
   @Override
   public void close() throws IOException {
     listener.close();
+    awaitAcceptThread();
     closeConnections();
   }
+
+  /**
+   * The operating system accepts connections until the accept call that was under way has returned,
+   * which may be after the close of its socket.
+   */
+  private void awaitAcceptThread() throws IOException {
+    if (acceptThread == null) {
+      return;
+    }
+    try {
+      acceptThread.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new InterruptedIOException("interrupted while closing");
+    }
+  }
 }
