Timers that fire late let the event loop read first: responses in time are not given up

Callers saw '-ERR no answer in time' though the backend had responded before the deadline, when the event loop was held up meanwhile.

Cause: a turn of the loop reads what was ready as it began and then runs the timers that are due when the reads are done. Held up among the reads, it ran the deadline before it looked at what had come meanwhile. Shared by platform and HTTP gateway (Timers).

Change: a wake-up over 5 ms late is set again for the next turn, which begins with reads.

Not shown: that this was what failed FaultTest.faultyCounter; its traces show a backend that had not answered.

--- a/src/main/java/fawndock/runtime/Timers.java
+++ b/src/main/java/fawndock/runtime/Timers.java
@@ -7,12 +7,16 @@
  * The timers of one event loop: a hashed timing wheel (Varghese and Lauck, 1987) with one slot for
  * each millisecond, and one Vert.x timer for the next slot in use. Scheduling and cancelling cost
  * the same however many timers are pending: at full load the timers that requests leave until their
- * deadlines are hundreds of thousands, too many for a sorted queue. Confined to one event loop.
+ * deadlines are hundreds of thousands, too many for a sorted queue. After the event loop was held
+ * up, what came meanwhile is read before timers fire. Confined to one event loop.
  */
 public final class Timers implements AutoCloseable {
   private static final int SLOTS = 4_096;
   private static final long TICK_NANOS = 1_000_000;
 
+  /** A wake-up that is later than this was held up: reads come first. */
+  private static final long MAX_PUNCTUAL_DELAY_TICKS = 5;
+
   /** One timer; it fires once, unless cancelled before. */
   public static final class Timer {
     private final long tick;
@@ -41,6 +45,9 @@
   private long wakeUpTick;
   private boolean isFiring;
 
+  /** Whether the late wake-up under way has let the event loop read. */
+  private boolean hasLetReadsGoFirst;
+
   /** Creates the timers of the event loop that this is called on. */
   public Timers(Vertx vertx) {
     this.vertx = vertx;
@@ -122,6 +129,12 @@
 
   private void onWakeUp() {
     wakeUpTimerId = -1;
+    if (mustLetReadsGoFirst()) {
+      hasLetReadsGoFirst = true;
+      wakeUpTimerId = vertx.setTimer(1, id -> onWakeUp());
+      return;
+    }
+    hasLetReadsGoFirst = false;
     isFiring = true;
     try {
       long nowTick = elapsedNanos() / TICK_NANOS;
@@ -139,6 +152,15 @@
     }
   }
 
+  /**
+   * Returns whether the event loop was held up past the wake-up. What came meanwhile, and was in
+   * time, may still be unread; the loop reads it before it runs a timer that is set now.
+   */
+  private boolean mustLetReadsGoFirst() {
+    long delayTicks = elapsedNanos() / TICK_NANOS - wakeUpTick;
+    return !hasLetReadsGoFirst && delayTicks > MAX_PUNCTUAL_DELAY_TICKS;
+  }
+
   private long nextTickInUse() {
     long tick = lastFiredTick + 1;
     while (!hasPendingTimer(slot(tick)) && tick < lastFiredTick + SLOTS) {
--- a/src/test/java/fawndock/platform/PlatformHarness.java
+++ b/src/test/java/fawndock/platform/PlatformHarness.java
@@ -4,10 +4,13 @@
 import fawndock.fake.FakeRespServer;
 import fawndock.fake.RespClient;
 import fawndock.policy.DefaultGatewayPolicy;
+import fawndock.policy.GatewayPolicy;
+import fawndock.policy.config.PolicyConfig;
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 
 /** One gateway process on a fake platform, for one test. */
 final class PlatformHarness implements AutoCloseable {
@@ -25,13 +28,22 @@
   PlatformHarness(
       FakeRespServer.CommandHandler backend, FakeRespServer.CommandHandler counter, int maxSockets)
       throws Exception {
+    this(backend, counter, maxSockets, DefaultGatewayPolicy::new);
+  }
+
+  PlatformHarness(
+      FakeRespServer.CommandHandler backend,
+      FakeRespServer.CommandHandler counter,
+      int maxSockets,
+      Function<PolicyConfig, GatewayPolicy> policyFactory)
+      throws Exception {
     platform = new FakePlatform(backend, counter, maxSockets);
     process = new PlatformProcess(platform.environment());
     thread =
         new Thread(
             () -> {
               try {
-                exitCode.set(process.run(DefaultGatewayPolicy::new));
+                exitCode.set(process.run(policyFactory));
               } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
               }
