A counter that keeps losing adds is called twice a request at most, not without end

Cause: a total that lacks this instance's own adds has them added again at once (QuotaAdmission.onCounterReply), and the reply to that call was treated alike: a loop as fast as the counter answers.

Change: a restoring call is marked; what it loses again goes with the next call.

--- a/src/main/java/fawndock/policy/quota/CounterCall.java
+++ b/src/main/java/fawndock/policy/quota/CounterCall.java
@@ -9,6 +9,7 @@
   private final WindowCounter counter;
   private final double addedUnits;
   private final double requestUnits;
+  private final boolean isRestore;
   private final List<PendingRequest> waiters = new ArrayList<>(1);
 
   /**
@@ -17,11 +18,13 @@
    * @param counter the counter that it adds to
    * @param addedUnits all that it adds, with what was pending
    * @param requestUnits what it adds for the request that caused it
+   * @param isRestore whether it only adds again what the counter has lost
    */
-  CounterCall(WindowCounter counter, double addedUnits, double requestUnits) {
+  CounterCall(WindowCounter counter, double addedUnits, double requestUnits, boolean isRestore) {
     this.counter = counter;
     this.addedUnits = addedUnits;
     this.requestUnits = requestUnits;
+    this.isRestore = isRestore;
   }
 
   WindowCounter counter() {
@@ -36,6 +39,10 @@
     return requestUnits;
   }
 
+  boolean isRestore() {
+    return isRestore;
+  }
+
   /** The requests that wait for it, in the order in which they began to. */
   public List<PendingRequest> waiters() {
     return waiters;
--- a/src/main/java/fawndock/policy/quota/CounterCalls.java
+++ b/src/main/java/fawndock/policy/quota/CounterCalls.java
@@ -24,7 +24,16 @@
 
   /** Adds to a counter, with all that is pending for it; adding 0 only reads. */
   CounterCall send(WindowCounter counter, double units) {
-    CounterCall call = new CounterCall(counter, units + counter.takePending(), units);
+    return send(counter, units, false);
+  }
+
+  /** Adds again what a counter has lost. */
+  void sendRestore(WindowCounter counter) {
+    send(counter, 0, true);
+  }
+
+  private CounterCall send(WindowCounter counter, double units, boolean isRestore) {
+    CounterCall call = new CounterCall(counter, units + counter.takePending(), units, isRestore);
     inFlight.computeIfAbsent(counter.name(), name -> new ArrayDeque<>(2)).add(call);
     long windowMicros = counter.quota().windowMicros();
     context.emit(
--- a/src/main/java/fawndock/policy/quota/QuotaAdmission.java
+++ b/src/main/java/fawndock/policy/quota/QuotaAdmission.java
@@ -140,8 +140,11 @@
       if (isPreviousRead) {
         counter.markReadAfterClose();
       }
-      if (counter.applyTotal(call.addedUnits(), reply.total())) {
-        calls.send(counter, 0);
+      boolean isLost = counter.applyTotal(call.addedUnits(), reply.total());
+      // What a restore has lost again waits for the next call: a counter that keeps losing adds
+      // would be called without end.
+      if (isLost && !call.isRestore()) {
+        calls.sendRestore(counter);
       }
     } else if (!reply.result().mayHaveTakenEffect) {
       pendingAdds.add(counter, call.addedUnits()); // Surely not added.
