The load generator's warm-up ends when its run begins

Cause: after its time limit of 5 s the run begins, but the warm-up's requests went on beside it and met closed clients when the run ended first.

Change: each request of the warm-up looks whether the run has begun.

--- a/src/main/java/fawndock/loadgen/LoadGenerator.java
+++ b/src/main/java/fawndock/loadgen/LoadGenerator.java
@@ -33,7 +33,7 @@
   private static final int HTTP2_STREAMS = 1_000;
   private static final int TICK_MILLIS = 1;
   private static final int WARM_REQUESTS = 500;
-  private static final long WARM_MILLIS = 5_000;
+  static final long WARM_MILLIS = 5_000;
   private final Vertx vertx;
   private final LoadPlan plan;
   private final RequestSchedule sources;
@@ -50,6 +50,9 @@
   private int waiting;
   private boolean stopped;
 
+  /** Whether the run has begun: its clients may be closed at any time. */
+  private boolean isWarmUpOver;
+
   /**
    * A run that has not begun.
    *
@@ -115,11 +118,10 @@
    * it, in the figures; it keeps a run from its first request for that long.
    */
   private void warmUp(Runnable then) {
-    boolean[] begun = {false};
     Runnable once =
         () -> {
-          if (!begun[0]) {
-            begun[0] = true;
+          if (!isWarmUpOver) {
+            isWarmUpOver = true;
             then.run();
           }
         };
@@ -141,7 +143,7 @@
   }
 
   private void warm(int port, int left, Runnable then) {
-    if (left == 0) {
+    if (left == 0 || isWarmUpOver) {
       then.run();
       return;
     }
--- a/src/test/java/fawndock/loadgen/GeneratorTest.java
+++ b/src/test/java/fawndock/loadgen/GeneratorTest.java
@@ -7,12 +7,14 @@
 
 import fawndock.settings.ConfigurationException;
 import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -106,6 +108,34 @@
     assertTrue(all.get(1).good() > 1);
   }
 
+  /** The run begins when the time for the warm-up is over, and may end before its last request. */
+  @Test
+  void warmUpThatTakesTooLong_endsWithTheRunWithoutAnError() throws Exception {
+    Vertx oneLoop = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    List<Throwable> unhandled = new CopyOnWriteArrayList<>();
+    oneLoop.exceptionHandler(unhandled::add);
+    try {
+      LoadGenerator generator =
+          new LoadGenerator(
+              oneLoop, plan(1, "flow any GET / rate 1"), List.of(), progress -> {}, all -> {});
+      var done = generator.run();
+      generator.stop(); // The run ends as soon as it has begun.
+      oneLoop.runOnContext(v -> holdUp(LoadGenerator.WARM_MILLIS + 100));
+      done.get(20, TimeUnit.SECONDS);
+    } finally {
+      oneLoop.close().toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+    }
+    assertEquals(List.of(), unhandled);
+  }
+
+  private static void holdUp(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   @Test
   void clientsLeaveATargetThatNeverReads() throws Exception {
     try (ServerSocket deaf = new ServerSocket(0)) {
