The counter closes its connections before its event loop ends: no buffers are left

Cause: CounterServer.close left open connections to the end of the event loop, which now and then ended before their handlers were told; channelInactive releases the buffers.

Change: close closes the connections and waits until the loop has told them. No JUnit test forces it.

--- a/src/main/java/fawndock/counter/CounterServer.java
+++ b/src/main/java/fawndock/counter/CounterServer.java
@@ -14,6 +14,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.EventExecutor;
@@ -56,6 +58,10 @@
   private final ServerStats stats = new ServerStats();
   private final CommandTable commands = new CommandTable();
   private final Set<ClientConnection> connections = new HashSet<>();
+
+  /** The connections' channels; a closed one leaves by itself. */
+  private final ChannelGroup channels = new DefaultChannelGroup(loop);
+
   private WriteAheadLogThread log;
   private SnapshotTask snapshots;
   private CommitScheduler scheduler;
@@ -199,6 +205,7 @@
     ClientConnection connection =
         new ClientConnection(
             executor, scheduler, nextConnectionId++, settings.password().isEmpty());
+    channels.add(channel);
     connections.add(connection);
     stats.connections = connections.size();
     // The listener is all that is wanted of the future.
@@ -233,6 +240,7 @@
       if (listener != null) {
         listener.close().sync();
         drain();
+        closeConnections();
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -260,6 +268,16 @@
     idle.get(STOP_TIMEOUT_MILLIS + 1_000, TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Closes the connections that are left while the loop still runs: a handler whose channel is
+   * closed by the loop's end may not be told, and keeps its buffers.
+   */
+  private void closeConnections() throws InterruptedException {
+    channels.close().await(STOP_TIMEOUT_MILLIS);
+    // The handlers are told by tasks of the loop: those are done when this one is.
+    loop.submit(() -> {}).await(STOP_TIMEOUT_MILLIS);
+  }
+
   private void completeWhenIdle(CompletableFuture<Void> idle, long deadlineNanos) {
     if (groupCommit.isIdle() || System.nanoTime() - deadlineNanos >= 0) {
       idle.complete(null);
