--- a/src/test/java/fawndock/platform/EventLoopDelayTest.java
+++ b/src/test/java/fawndock/platform/EventLoopDelayTest.java
@@ -28,20 +28,12 @@
       if (event instanceof RequestArrived arrived
           && arrived.customer().equals(String.format("%016x", HELD_UP_CUSTOMER))) {
         heldUp.countDown();
-        awaitUninterrupted(release);
+        Await.latch(release);
       }
       return policy.onEvent(nowMicros, event);
     };
   }
 
-  private static void awaitUninterrupted(CountDownLatch latch) {
-    try {
-      latch.await();
-    } catch (InterruptedException e) {
-      throw new IllegalStateException(e);
-    }
-  }
-
   @Test
   void responseThatCameInTime_isServedAlthoughTheDeadlineHasPassedMeanwhile() throws Exception {
     CountDownLatch respond = new CountDownLatch(1);
--- a/src/test/java/fawndock/platform/SignalTest.java
+++ b/src/test/java/fawndock/platform/SignalTest.java
@@ -101,7 +101,7 @@
       return process.run(
           config -> {
             warmUpStarted.countDown();
-            awaitUninterrupted(reloaded);
+            Await.latch(reloaded);
             return new DefaultGatewayPolicy(config);
           });
     } catch (InterruptedException e) {
@@ -109,14 +109,6 @@
     }
   }
 
-  private static void awaitUninterrupted(CountDownLatch latch) {
-    try {
-      latch.await();
-    } catch (InterruptedException e) {
-      throw new IllegalStateException(e);
-    }
-  }
-
   private static boolean isServed(FakePlatform platform) {
     String[] command = FakePlatform.requestCommand("look", "large", 7, System.nanoTime(), "");
     try (RespClient client = new RespClient(platform.port())) {
