Load generator: members under the field's names; behaviour as before

Change: statistics, schedule, inFlightCount, pendingRetryCount, reportInterval, runClosedLoopClient, giveUp and others in place of tallies, sources, out, waiting, tell, closed, leave.

--- a/src/main/java/fawndock/loadgen/LoadGenerator.java
+++ b/src/main/java/fawndock/loadgen/LoadGenerator.java
@@ -36,19 +36,19 @@
   static final long WARM_MILLIS = 5_000;
   private final Vertx vertx;
   private final LoadPlan plan;
-  private final RequestSchedule sources;
-  private final List<FlowStatistics> tallies = new ArrayList<>();
+  private final RequestSchedule schedule;
+  private final List<FlowStatistics> statistics = new ArrayList<>();
   private final List<HttpClient> clients = new ArrayList<>();
-  private final Consumer<Progress> progress;
-  private final Consumer<List<FlowStatistics>> interval;
+  private final Consumer<Progress> progressListener;
+  private final Consumer<List<FlowStatistics>> intervalListener;
   private final CompletableFuture<List<FlowStatistics>> done = new CompletableFuture<>();
   private final SplittableRandom random;
-  private long begin;
-  private double nextInterval;
-  private int turn;
-  private int out;
-  private int waiting;
-  private boolean stopped;
+  private long startedAtNanos;
+  private double nextIntervalSeconds;
+  private int requestCount;
+  private int inFlightCount;
+  private int pendingRetryCount;
+  private boolean isStopped;
 
   /** Whether the run has begun: its clients may be closed at any time. */
   private boolean isWarmUpOver;
@@ -57,7 +57,7 @@
    * A run that has not begun.
    *
    * @param traces read, in the order of the plan's
-   * @param interval told at each interval, before what the tallies hold of it is cleared
+   * @param interval told at each interval, before what the statistics hold of it is cleared
    */
   public LoadGenerator(
       Vertx vertx,
@@ -67,12 +67,12 @@
       Consumer<List<FlowStatistics>> interval) {
     this.vertx = vertx;
     this.plan = plan;
-    this.progress = progress;
-    this.interval = interval;
-    sources = new RequestSchedule(plan, traces);
+    this.progressListener = progress;
+    this.intervalListener = interval;
+    schedule = new RequestSchedule(plan, traces);
     random = new SplittableRandom(plan.seed());
-    plan.flows().forEach(flow -> tallies.add(new FlowStatistics()));
-    plan.traces().forEach(trace -> tallies.add(new FlowStatistics()));
+    plan.flows().forEach(flow -> statistics.add(new FlowStatistics()));
+    plan.traces().forEach(trace -> statistics.add(new FlowStatistics()));
     for (int i = 0; i < plan.targets().size(); i++) {
       clients.add(
           vertx.createHttpClient(
@@ -85,12 +85,12 @@
               new PoolOptions()
                   .setHttp1MaxSize(plan.connections())
                   .setHttp2MaxSize(plan.connections())
-                  .setMaxWaitQueueSize(-1))); // Bounded by what may be out.
+                  .setMaxWaitQueueSize(-1))); // Bounded by what may be in flight.
     }
   }
 
   /**
-   * Runs; completes when the last request has ended, with a tally for each flow and trace of the
+   * Runs; completes when the last request has ended, with statistics for each flow and trace of the
    * plan.
    */
   public CompletableFuture<List<FlowStatistics>> run() {
@@ -98,17 +98,17 @@
         v ->
             warmUp(
                 () -> {
-                  begin = System.nanoTime();
-                  nextInterval = plan.intervalSeconds();
+                  startedAtNanos = System.nanoTime();
+                  nextIntervalSeconds = plan.intervalSeconds();
                   for (int i = 0; i < plan.flows().size(); i++) {
                     Flow flow = plan.flows().get(i);
                     CustomerSelector customers =
                         new CustomerSelector(flow.customers(), flow.skew());
                     for (int client = 0; client < flow.closed(); client++) {
-                      closed(flow, i, customers);
+                      runClosedLoopClient(flow, i, customers);
                     }
                   }
-                  tick();
+                  sendDue();
                 }));
     return done;
   }
@@ -132,7 +132,7 @@
         .listen(0, "127.0.0.1")
         .onSuccess(
             s ->
-                warm(
+                sendWarmUpRequest(
                     s.actualPort(),
                     WARM_REQUESTS,
                     () -> {
@@ -142,7 +142,7 @@
         .onFailure(e -> once.run());
   }
 
-  private void warm(int port, int left, Runnable then) {
+  private void sendWarmUpRequest(int port, int left, Runnable then) {
     if (left == 0 || isWarmUpOver) {
       then.run();
       return;
@@ -152,68 +152,68 @@
         .request(new RequestOptions().setHost("127.0.0.1").setPort(port).setURI("/"))
         .compose(request -> request.send())
         .compose(answer -> answer.body())
-        .onComplete(answer -> warm(port, left - 1, then));
+        .onComplete(answer -> sendWarmUpRequest(port, left - 1, then));
   }
 
-  /** Nothing new is sent; what is out ends. */
+  /** Sends nothing new; what is in flight ends. */
   public void stop() {
-    vertx.runOnContext(v -> stopped = true);
+    vertx.runOnContext(v -> isStopped = true);
   }
 
   private long now() {
-    return (System.nanoTime() - begin) / 1_000;
+    return (System.nanoTime() - startedAtNanos) / 1_000;
   }
 
-  private void tick() {
+  private void sendDue() {
     long now = now();
-    for (ScheduledRequest due = stopped ? null : sources.next(now);
+    for (ScheduledRequest due = isStopped ? null : schedule.next(now);
         due != null;
-        due = sources.next(now)) {
+        due = schedule.next(now)) {
       begin(due, due.atMicros(), 1, () -> {});
     }
-    boolean over = stopped || (sources.done() && now >= plan.seconds() * 1e6);
-    over |= plan.flows().isEmpty() && sources.done();
-    if (now / 1e6 >= nextInterval || (over && out + waiting == 0)) {
-      tell(now / 1e6);
-      nextInterval += plan.intervalSeconds();
+    boolean isOver = isStopped || (schedule.done() && now >= plan.seconds() * 1e6);
+    isOver |= plan.flows().isEmpty() && schedule.done();
+    if (now / 1e6 >= nextIntervalSeconds || (isOver && inFlightCount + pendingRetryCount == 0)) {
+      reportInterval(now / 1e6);
+      nextIntervalSeconds += plan.intervalSeconds();
     }
-    if (over && out + waiting == 0) {
+    if (isOver && inFlightCount + pendingRetryCount == 0) {
       clients.forEach(HttpClient::close);
-      done.complete(tallies);
+      done.complete(statistics);
     } else {
-      vertx.setTimer(TICK_MILLIS, id -> tick());
+      vertx.setTimer(TICK_MILLIS, id -> sendDue());
     }
   }
 
-  private void tell(double seconds) {
+  private void reportInterval(double seconds) {
     long due = 0;
     long good = 0;
     long other = 0;
-    org.HdrHistogram.Histogram all = tallies.get(0).interval.copy();
-    for (FlowStatistics each : tallies) {
+    org.HdrHistogram.Histogram all = statistics.get(0).interval.copy();
+    for (FlowStatistics each : statistics) {
       due += each.due;
       good += each.good();
       other += each.latency.getTotalCount() - each.good();
-      if (each != tallies.get(0)) {
+      if (each != statistics.get(0)) {
         all.add(each.interval);
       }
     }
-    progress.accept(
+    progressListener.accept(
         new Progress(
             seconds,
             due,
             good,
             other,
-            out,
+            inFlightCount,
             all.getValueAtPercentile(50),
             all.getValueAtPercentile(99)));
-    interval.accept(tallies);
-    tallies.forEach(each -> each.interval.reset());
+    intervalListener.accept(statistics);
+    statistics.forEach(each -> each.interval.reset());
   }
 
   /** One client that asks again whenever it has its answer. */
-  private void closed(Flow flow, int place, CustomerSelector customers) {
-    if (stopped || now() >= plan.seconds() * 1e6) {
+  private void runClosedLoopClient(Flow flow, int place, CustomerSelector customers) {
+    if (isStopped || now() >= plan.seconds() * 1e6) {
       return;
     }
     Request r = flow.request();
@@ -223,24 +223,24 @@
             now, place, r, r.method(), r.path(), RequestSchedule.key(flow, customers.draw(random))),
         now,
         1,
-        () -> vertx.runOnContext(v -> closed(flow, place, customers)));
+        () -> vertx.runOnContext(v -> runClosedLoopClient(flow, place, customers)));
   }
 
   /** Begins one try of a request that was meant to begin at a time. */
   private void begin(ScheduledRequest due, long intended, int tried, Runnable ended) {
-    FlowStatistics tally = tallies.get(due.flow());
-    tally.due++;
-    tally.retries += tried > 1 ? 1 : 0;
-    if (out >= plan.outstanding()) {
-      tally.unsent++;
+    FlowStatistics flowStatistics = statistics.get(due.flow());
+    flowStatistics.due++;
+    flowStatistics.retries += tried > 1 ? 1 : 0;
+    if (inFlightCount >= plan.outstanding()) {
+      flowStatistics.unsent++;
       ended.run();
       return;
     }
     if (now() - intended > plan.slackMicros()) {
-      tally.late++;
+      flowStatistics.late++;
     }
-    out++;
-    new LoadAttempt(due, intended, tried, ended, tally).send();
+    inFlightCount++;
+    new LoadAttempt(due, intended, tried, ended, flowStatistics).send();
   }
 
   private final class LoadAttempt {
@@ -248,25 +248,29 @@
     private final long intended;
     private final int tried;
     private final Runnable ended;
-    private final FlowStatistics tally;
+    private final FlowStatistics flowStatistics;
     private long sentAt;
     private HttpClientRequest request;
-    private boolean over;
+    private boolean isOver;
 
     LoadAttempt(
-        ScheduledRequest due, long intended, int tried, Runnable ended, FlowStatistics tally) {
+        ScheduledRequest due,
+        long intended,
+        int tried,
+        Runnable ended,
+        FlowStatistics flowStatistics) {
       this.due = due;
       this.intended = intended;
       this.tried = tried;
       this.ended = ended;
-      this.tally = tally;
+      this.flowStatistics = flowStatistics;
     }
 
     void send() {
-      int target = turn++ % plan.targets().size();
+      int target = requestCount++ % plan.targets().size();
       Address address = plan.targets().get(target);
       long leaveIn = intended + due.request().manners().giveUpMicros() - now();
-      long timer = vertx.setTimer(Math.max(1, (leaveIn + 999) / 1_000), id -> leave());
+      long timer = vertx.setTimer(Math.max(1, (leaveIn + 999) / 1_000), id -> giveUp());
       RequestOptions options =
           new RequestOptions()
               .setHost(address.host())
@@ -286,7 +290,7 @@
                 request = made;
                 sentAt = now();
                 made.exceptionHandler(e -> {}); // Told by what is composed below.
-                if (over) { // The client left while it waited for a connection.
+                if (isOver) { // The client left while it waited for a connection.
                   made.reset();
                 }
                 return due.request().bodyBytes() == 0
@@ -299,55 +303,55 @@
                 vertx.cancelTimer(timer);
                 if (answer.succeeded()) {
                   String wait = answer.result().getHeader("retry-after");
-                  end(
+                  complete(
                       answer.result().statusCode(),
                       wait != null && wait.matches("[0-9]{1,9}") ? Long.parseLong(wait) : 0);
                 } else {
-                  end(0, 0);
+                  complete(0, 0);
                 }
               });
     }
 
-    private void leave() {
-      if (over) {
+    private void giveUp() {
+      if (isOver) {
         return;
       }
-      over = true;
-      out--;
-      tally.left(now() - intended);
+      isOver = true;
+      inFlightCount--;
+      flowStatistics.left(now() - intended);
       if (request != null) {
         request.reset();
       }
-      again(0, 0);
+      retryOrFinish(0, 0);
     }
 
-    private void end(int status, long retryAfter) {
-      if (over) {
+    private void complete(int status, long retryAfter) {
+      if (isOver) {
         return;
       }
-      over = true;
-      out--;
+      isOver = true;
+      inFlightCount--;
       long now = now();
       if (status == 0) {
-        tally.failed(now - intended);
+        flowStatistics.failed(now - intended);
       } else {
-        tally.answered(status, now - intended, now - sentAt);
+        flowStatistics.answered(status, now - intended, now - sentAt);
       }
-      again(status, retryAfter);
+      retryOrFinish(status, retryAfter);
     }
 
-    private void again(int status, long retryAfter) {
-      long wait = stopped ? -1 : due.request().manners().again(status, retryAfter, tried);
+    private void retryOrFinish(int status, long retryAfter) {
+      long wait = isStopped ? -1 : due.request().manners().again(status, retryAfter, tried);
       if (wait < 0) {
         ended.run();
         return;
       }
-      waiting++;
+      pendingRetryCount++;
       long at = now() + wait;
       vertx.setTimer(
           Math.max(1, wait / 1_000),
           id -> {
-            waiting--;
+            pendingRetryCount--;
             begin(due, at, tried + 1, ended);
           });
     }
