--- a/src/test/java/fawndock/platform/FaultTest.java
+++ b/src/test/java/fawndock/platform/FaultTest.java
@@ -28,7 +28,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Faults of counter and discovery, reloads and shutdowns, each with requests. */
@@ -41,7 +40,6 @@
   }
 
   @Test
-  @Tag("known-red") // See KNOWN-RED.txt.
   void faultyCounter_delaysRequestsButFailsNone() throws Exception {
     for (FakeRespServer.CommandHandler counter :
         new FakeRespServer.CommandHandler[] {
