The configuration file is watched once it has been read; a failed start ends the process

Change: the watcher starts after the first read; Vert.x is closed before such an exception goes on. SignalTest three of three; by hand, an unusable file under an ignored SIGHUP: one line, exit 2.

--- a/src/main/java/fawndock/platform/PlatformProcess.java
+++ b/src/main/java/fawndock/platform/PlatformProcess.java
@@ -71,13 +71,19 @@
     vertx = createVertx();
     context = vertx.getOrCreateContext();
     // Before the file is read: a signal would end the process, or its change be missed.
-    installSignalHandlers();
+    boolean canReload = installSignalHandlers();
     try {
       start(policyFactory);
+      if (!canReload) {
+        watchConfigFile();
+      }
     } catch (InvalidConfigException e) {
       System.err.println(e.getMessage());
       exitCode = EXIT_INVALID_CONFIG;
       finished.countDown();
+    } catch (RuntimeException e) {
+      closeVertx(); // Its threads would keep the process alive.
+      throw e;
     }
     finished.await();
     if (configFileWatcher != null) {
@@ -208,15 +214,18 @@
     }
   }
 
-  private void installSignalHandlers() {
-    String file = variables.get(PlatformConfigReader.VARIABLE_CONFIG_FILE);
-    if (!installSignalHandler("HUP", this::reload) && file != null) {
-      LOG.warn("watching the configuration file instead, file={}", file);
-      configFileWatcher = new ConfigFileWatcher(Path.of(file), this::reload);
-      configFileWatcher.start();
-    }
+  /** Returns whether the reload signal can be received. */
+  private boolean installSignalHandlers() {
     installSignalHandler("TERM", this::stop);
     installSignalHandler("INT", this::stop);
+    return installSignalHandler("HUP", this::reload);
+  }
+
+  private void watchConfigFile() {
+    Path file = Path.of(variables.get(PlatformConfigReader.VARIABLE_CONFIG_FILE));
+    LOG.warn("watching the configuration file instead, file={}", file);
+    configFileWatcher = new ConfigFileWatcher(file, this::reload);
+    configFileWatcher.start();
   }
 
   /**
