Experiments reuse a result only of the same policy, settings reader and libraries

What callers saw: after a change of the policy, `fawndock experiment` printed "0 to be done" and the stored figures of the former policy, exit code 0. Why the fix works: the hash finds the classes itself. From the run (PlannedRun) and the policy it follows superclasses, interfaces and owners of used methods and fields, through the program and its libraries, so a renamed, moved or new class is found as the code refers to it. PlannedRun is taken out of ExperimentRunner, so that the hash starts at what a run does and not at the store of results.

--- a/src/main/java/fawndock/cli/ExperimentCommand.java
+++ b/src/main/java/fawndock/cli/ExperimentCommand.java
@@ -66,7 +66,10 @@
     try (ResultStore results = ResultStore.open(directory)) {
       Experiment experiment = ExperimentFile.read(file);
       ExperimentRunner runner =
-          new ExperimentRunner(experiment, DefaultGatewayPolicy::new, BuildHash.ofRunningClasses());
+          new ExperimentRunner(
+              experiment,
+              DefaultGatewayPolicy::new,
+              BuildHash.ofRunsWith(DefaultGatewayPolicy.class));
       int remaining = runner.remainingRuns(results);
       System.out.printf(
           "%s: %d runs, %d to be done, %d at once%n",
--- a/src/main/java/fawndock/experiment/BuildHash.java
+++ b/src/main/java/fawndock/experiment/BuildHash.java
@@ -1,18 +1,13 @@
 package fawndock.experiment;
 
+import fawndock.policy.GatewayPolicy;
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.URISyntaxException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.FileSystem;
-import java.nio.file.FileSystems;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.stream.Stream;
+import java.util.SortedMap;
 
 /**
  * Hashes that identify a build. The hash is part of each result's key, so that results of another
@@ -21,17 +16,6 @@
 public final class BuildHash {
   private static final int HASH_LENGTH = 16;
 
-  /** Class files that the result of a simulated run depends on. */
-  private static final List<String> HASHED_CLASS_PREFIXES =
-      List.of(
-          "fawndock/Logic",
-          "fawndock/Gatekeeper",
-          "fawndock/simulation/",
-          "fawndock/loadgen/",
-          "fawndock/measurement/",
-          "fawndock/conformance/",
-          "fawndock/counter/storage/");
-
   private BuildHash() {}
 
   /** Returns the first {@value #HASH_LENGTH} hexadecimal digits of the SHA-256 of some texts. */
@@ -41,7 +25,38 @@
       digest.update(text.getBytes(StandardCharsets.UTF_8));
       digest.update((byte) 0);
     }
-    return HexFormat.of().formatHex(digest.digest()).substring(0, HASH_LENGTH);
+    return format(digest);
+  }
+
+  /**
+   * Returns the hash of the classes that determine the result of a run with a policy: the policy,
+   * the run and what these depend on. It does not change with other classes of the program.
+   */
+  public static String ofRunsWith(Class<? extends GatewayPolicy> policy) throws IOException {
+    return ofRunsWith(policy.getName(), policy.getClassLoader());
+  }
+
+  /** Returns the hash for a policy whose classes a class loader finds, without loading them. */
+  static String ofRunsWith(String policyName, ClassLoader loader) throws IOException {
+    MessageDigest digest = digest();
+    classFilesOfRunsWith(policyName, loader)
+        .forEach(
+            (name, classFile) -> {
+              digest.update(name.getBytes(StandardCharsets.UTF_8));
+              digest.update(classFile);
+            });
+    return format(digest);
+  }
+
+  /** Returns the hashed class files by their names in internal form. */
+  static SortedMap<String, byte[]> classFilesOfRunsWith(String policyName, ClassLoader loader)
+      throws IOException {
+    return ClassDependencies.classFiles(
+        loader, List.of(internalName(PlannedRun.class.getName()), internalName(policyName)));
+  }
+
+  private static String internalName(String className) {
+    return className.replace('.', '/');
   }
 
   private static MessageDigest digest() {
@@ -52,47 +67,7 @@
     }
   }
 
-  /** Returns the hash of the class files that this process runs with. */
-  public static String ofRunningClasses() throws IOException {
-    try {
-      Path codeSource =
-          Path.of(BuildHash.class.getProtectionDomain().getCodeSource().getLocation().toURI());
-      if (Files.isDirectory(codeSource)) {
-        return ofClasses(codeSource);
-      }
-      try (FileSystem jar = FileSystems.newFileSystem(codeSource)) {
-        return ofClasses(jar.getPath("/"));
-      }
-    } catch (URISyntaxException e) {
-      throw new IOException(e);
-    }
-  }
-
-  private static String ofClasses(Path root) throws IOException {
-    MessageDigest digest = digest();
-    List<Path> classes;
-    try (Stream<Path> paths = Files.walk(root.resolve("fawndock"))) {
-      classes =
-          paths
-              .filter(
-                  path ->
-                      HASHED_CLASS_PREFIXES.stream()
-                              .anyMatch(
-                                  prefix ->
-                                      root.relativize(path)
-                                          .toString()
-                                          .replace('\\', '/')
-                                          .startsWith(prefix))
-                          && path.toString().endsWith(".class"))
-              .sorted((a, b) -> a.toString().compareTo(b.toString()))
-              .toList();
-    }
-    for (Path classFile : classes) {
-      digest.update(root.relativize(classFile).toString().getBytes(StandardCharsets.UTF_8));
-      try (InputStream in = Files.newInputStream(classFile)) {
-        digest.update(in.readAllBytes());
-      }
-    }
+  private static String format(MessageDigest digest) {
     return HexFormat.of().formatHex(digest.digest()).substring(0, HASH_LENGTH);
   }
 }
--- a/src/main/java/fawndock/experiment/ExperimentRunner.java
+++ b/src/main/java/fawndock/experiment/ExperimentRunner.java
@@ -1,14 +1,10 @@
 package fawndock.experiment;
 
-import fawndock.experiment.Experiment.Run;
 import fawndock.policy.GatewayPolicy;
 import fawndock.policy.config.PolicyConfig;
 import fawndock.settings.ConfigurationException;
-import fawndock.simulation.DeploymentFile;
-import fawndock.simulation.SimulationResult;
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,9 +20,8 @@
  * on one thread; the object itself is used by a single thread.
  */
 public final class ExperimentRunner {
-  private final List<PlannedRun> plannedRuns = new ArrayList<>();
+  private final List<PlannedRun> plannedRuns;
   private final Function<PolicyConfig, GatewayPolicy> policyFactory;
-  private final String build;
 
   /**
    * Plans all runs.
@@ -37,24 +32,10 @@
   public ExperimentRunner(
       Experiment experiment, Function<PolicyConfig, GatewayPolicy> policyFactory, String build)
       throws ConfigurationException {
+    this.plannedRuns = PlannedRun.planAll(experiment, build);
     this.policyFactory = policyFactory;
-    this.build = build;
-    Map<Map<String, String>, DeploymentFile.ParsedDeployment> deploymentByValues = new HashMap<>();
-    for (Map<String, String> values : experiment.cells()) {
-      deploymentByValues.put(values, DeploymentFile.read(experiment.scenario(), values));
-    }
-    for (Run run : experiment.runs()) {
-      DeploymentFile.ParsedDeployment deployment = deploymentByValues.get(run.values());
-      plannedRuns.add(
-          new PlannedRun(
-              BuildHash.hash(deployment.effectiveSettings(), Long.toString(run.seed()), build),
-              run,
-              deployment));
-    }
   }
 
-  private record PlannedRun(String key, Run run, DeploymentFile.ParsedDeployment deployment) {}
-
   /** Returns the number of distinct runs without a stored result. */
   public int remainingRuns(ResultStore results) {
     return (int)
@@ -75,8 +56,8 @@
       throws IOException, InterruptedException {
     Map<String, PlannedRun> remaining = new LinkedHashMap<>();
     plannedRuns.stream()
-        .filter(plannedRun -> !results.resultsByKey().containsKey(plannedRun.key))
-        .forEach(plannedRun -> remaining.putIfAbsent(plannedRun.key, plannedRun));
+        .filter(plannedRun -> !results.resultsByKey().containsKey(plannedRun.key()))
+        .forEach(plannedRun -> remaining.putIfAbsent(plannedRun.key(), plannedRun));
     ExecutorService executor =
         Executors.newFixedThreadPool(
             jobs,
@@ -88,7 +69,9 @@
     try {
       ExecutorCompletionService<RunResult> completedRuns =
           new ExecutorCompletionService<>(executor);
-      remaining.values().forEach(plannedRun -> completedRuns.submit(() -> execute(plannedRun)));
+      remaining
+          .values()
+          .forEach(plannedRun -> completedRuns.submit(() -> plannedRun.execute(policyFactory)));
       for (int i = 0; i < remaining.size(); i++) {
         results.add(completedRuns.take().get());
         progress.accept(i + 1);
@@ -101,11 +84,11 @@
     List<RunResult> orderedResults = new ArrayList<>();
     for (PlannedRun plannedRun :
         plannedRuns) { // Cells with equal settings share one run; each result gets its own values.
-      RunResult result = results.resultsByKey().get(plannedRun.key);
+      RunResult result = results.resultsByKey().get(plannedRun.key());
       orderedResults.add(
           new RunResult(
               result.key(),
-              plannedRun.run.values(),
+              plannedRun.run().values(),
               result.seed(),
               result.settings(),
               result.build(),
@@ -116,30 +99,4 @@
     }
     return orderedResults;
   }
-
-  private RunResult execute(PlannedRun plannedRun) {
-    SimulationResult result =
-        plannedRun.deployment.withSeed(plannedRun.run.seed()).createSimulation(policyFactory).run();
-    Map<String, double[]> series = new LinkedHashMap<>();
-    result
-        .series()
-        .forEach(
-            (name, values) -> {
-              double[] rounded = new double[values.length];
-              for (int i = 0; i < values.length; i++) {
-                rounded[i] = Math.round(values[i] * 1e3) / 1e3;
-              }
-              series.put(name, rounded);
-            });
-    return new RunResult(
-        plannedRun.key,
-        plannedRun.run.values(),
-        plannedRun.run.seed(),
-        plannedRun.deployment.effectiveSettings(),
-        build,
-        result.figures(),
-        series,
-        plannedRun.deployment.faultWindows(),
-        result.conformance().summaryLine());
-  }
 }
