Reports show the runs of the latest experiment, not those of several policies

What callers saw: in a folder with results of two policies, or of two settings, `fawndock report` took medians over both, and after a return to the first it showed the second. Cause: results.jsonl keeps the results of all settings and builds; the report took the last line of each combination of values and seed, and runs of former experiments too. Which lines belong to the latest experiment was stored nowhere. Why the fix works: an experiment that has run to its end lists the keys and values of its runs in experiment-runs.json, and the report shows the results of these keys. A key holds settings, seed and build. Folders of earlier versions without the list are shown as before when they hold one experiment, and refused when they hold several builds or settings. Cells that share a run now have both their rows. Files that are replaced whole are written by one AtomicFileWriter in place of two copies of it.

--- a/src/main/java/fawndock/cli/ExperimentCommand.java
+++ b/src/main/java/fawndock/cli/ExperimentCommand.java
@@ -6,6 +6,7 @@
 import fawndock.experiment.ExperimentRunner;
 import fawndock.experiment.ResultStore;
 import fawndock.experiment.ResultTable;
+import fawndock.experiment.RunList;
 import fawndock.experiment.RunResult;
 import fawndock.policy.DefaultGatewayPolicy;
 import fawndock.settings.ConfigurationException;
@@ -78,6 +79,7 @@
       List<RunResult> all = runner.run(results, jobs, progressBar::update);
       progressBar.finish();
       ResultStore.writeCsv(directory.resolve("results.csv"), all);
+      RunList.write(directory, all);
       Files.copy(
           file,
           directory.resolve(ResultStore.EXPERIMENT_FILE),
--- a/src/main/java/fawndock/cli/ReportCommand.java
+++ b/src/main/java/fawndock/cli/ReportCommand.java
@@ -33,9 +33,9 @@
   @Override
   public Integer call() throws IOException {
     System.setProperty("java.awt.headless", "true");
-    List<RunResult> results = ResultStore.read(directory);
+    List<RunResult> results = ResultStore.readLatestExperiment(directory);
     List<RunResult> baselineResults =
-        baselineDirectory == null ? List.of() : ResultStore.read(baselineDirectory);
+        baselineDirectory == null ? List.of() : ResultStore.readLatestExperiment(baselineDirectory);
     if (results.isEmpty() || (baselineDirectory != null && baselineResults.isEmpty())) {
       throw new IOException(
           (results.isEmpty() ? directory : baselineDirectory)
--- a/src/main/java/fawndock/experiment/Experiment.java
+++ b/src/main/java/fawndock/experiment/Experiment.java
@@ -2,10 +2,11 @@
 
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 
 /**
  * An experiment: the combinations of values and the seeds that a scenario runs with, and the
@@ -96,15 +97,16 @@
     return all;
   }
 
-  /**
-   * Returns results in the order of the runs, followed by results of other runs. When several
-   * results have the same values and seed, from different settings or builds, only the last one is
-   * returned.
-   */
-  public List<RunResult> inRunOrder(List<RunResult> all) {
-    Map<Run, RunResult> latestByRun = new LinkedHashMap<>();
-    runs().forEach(run -> latestByRun.put(run, null));
-    all.forEach(result -> latestByRun.put(new Run(result.values(), result.seed()), result));
-    return latestByRun.values().stream().filter(Objects::nonNull).toList();
+  /** Returns results in the order of the runs, followed by results of other runs. */
+  public List<RunResult> inRunOrder(List<RunResult> results) {
+    Map<Run, Integer> positions = new HashMap<>();
+    runs().forEach(run -> positions.put(run, positions.size()));
+    return results.stream()
+        .sorted(
+            Comparator.comparingInt(
+                result ->
+                    positions.getOrDefault(
+                        new Run(result.values(), result.seed()), Integer.MAX_VALUE)))
+        .toList();
   }
 }
--- a/src/main/java/fawndock/experiment/ExperimentRunner.java
+++ b/src/main/java/fawndock/experiment/ExperimentRunner.java
@@ -82,20 +82,10 @@
       executor.shutdownNow();
     }
     List<RunResult> orderedResults = new ArrayList<>();
-    for (PlannedRun plannedRun :
-        plannedRuns) { // Cells with equal settings share one run; each result gets its own values.
+    for (PlannedRun plannedRun : plannedRuns) {
+      // Cells with equal settings share one run; each result gets its own values.
       RunResult result = results.resultsByKey().get(plannedRun.key());
-      orderedResults.add(
-          new RunResult(
-              result.key(),
-              plannedRun.run().values(),
-              result.seed(),
-              result.settings(),
-              result.build(),
-              result.figures(),
-              result.series(),
-              result.marks(),
-              result.verdict()));
+      orderedResults.add(result.withValues(plannedRun.run().values()));
     }
     return orderedResults;
   }
--- a/src/main/java/fawndock/experiment/ResultStore.java
+++ b/src/main/java/fawndock/experiment/ResultStore.java
@@ -12,7 +12,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -72,7 +71,18 @@
     }
   }
 
-  /** Reads the results in a folder, ignoring an incomplete last line. */
+  /**
+   * Reads the results of the experiment that completed last in a folder, without those of other
+   * settings, builds and experiments.
+   *
+   * @throws IOException when there is no result file, one of its lines is malformed, or it is
+   *     unknown which results belong to the experiment
+   */
+  public static List<RunResult> readLatestExperiment(Path folder) throws IOException {
+    return RunList.select(folder, read(folder));
+  }
+
+  /** Reads all results in a folder, ignoring an incomplete last line. */
   public static List<RunResult> read(Path folder) throws IOException {
     Path file = folder.resolve(RESULTS_FILE);
     if (!Files.isRegularFile(file)) {
@@ -152,12 +162,8 @@
       row.putAll(result.figures());
       rows.add(row);
     }
-    Path temporaryFile = file.resolveSibling(file.getFileName() + ".new");
-    Files.writeString(
-        temporaryFile,
-        new CsvMapper().writer(schema.build().withHeader()).writeValueAsString(rows));
-    Files.move(
-        temporaryFile, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    AtomicFileWriter.write(
+        file, new CsvMapper().writer(schema.build().withHeader()).writeValueAsString(rows));
   }
 
   @Override
--- a/src/main/java/fawndock/experiment/RunResult.java
+++ b/src/main/java/fawndock/experiment/RunResult.java
@@ -25,4 +25,9 @@
     Map<String, Double> figures,
     Map<String, double[]> series,
     List<FaultWindow> marks,
-    String verdict) {}
+    String verdict) {
+  /** Returns the same result for a run of other values with equal settings. */
+  RunResult withValues(Map<String, String> otherValues) {
+    return new RunResult(key, otherValues, seed, settings, build, figures, series, marks, verdict);
+  }
+}
--- a/src/main/java/fawndock/report/HtmlReport.java
+++ b/src/main/java/fawndock/report/HtmlReport.java
@@ -1,15 +1,14 @@
 package fawndock.report;
 
+import fawndock.experiment.AtomicFileWriter;
 import fawndock.experiment.Experiment;
 import fawndock.experiment.ResultTable;
 import fawndock.experiment.RunResult;
 import fawndock.report.PlotSelection.Plot;
 import fawndock.simulation.DeploymentFile.FaultWindow;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.Base64;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -100,14 +99,7 @@
           .append(omittedPlotCount)
           .append(" plots more were left out; an experiment that varies less has them all.</p>");
     }
-    Path pageFile = folder.resolve("report.html");
-    Path temporaryFile = folder.resolve("report.html.new");
-    Files.writeString(temporaryFile, html, StandardCharsets.UTF_8);
-    return Files.move(
-        temporaryFile,
-        pageFile,
-        StandardCopyOption.ATOMIC_MOVE,
-        StandardCopyOption.REPLACE_EXISTING);
+    return AtomicFileWriter.write(folder.resolve("report.html"), html);
   }
 
   private static String joinBuilds(List<RunResult> results) {
