The text output of an experiment has a class of its own

Need: ExperimentCommand ran the experiment and formatted four kinds of lines, in one function of 50 lines.

--- a/src/main/java/fawndock/cli/ExperimentCommand.java
+++ b/src/main/java/fawndock/cli/ExperimentCommand.java
@@ -5,7 +5,6 @@
 import fawndock.experiment.ExperimentFile;
 import fawndock.experiment.ExperimentRunner;
 import fawndock.experiment.ResultStore;
-import fawndock.experiment.ResultTable;
 import fawndock.experiment.RunList;
 import fawndock.experiment.RunResult;
 import fawndock.policy.DefaultGatewayPolicy;
@@ -13,9 +12,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.LinkedHashMap;
+import java.nio.file.StandardCopyOption;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -83,7 +81,7 @@
       Files.copy(
           file,
           directory.resolve(ResultStore.EXPERIMENT_FILE),
-          java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+          StandardCopyOption.REPLACE_EXISTING);
       return printReport(experiment, all) ? 0 : 1;
     } catch (ConfigurationException e) {
       System.err.println(e.getMessage());
@@ -91,88 +89,14 @@
     }
   }
 
-  private boolean printReport(Experiment experiment, List<RunResult> all) {
-    Map<Map<String, String>, List<RunResult>> cells = ResultTable.groupByValues(all);
+  private boolean printReport(Experiment experiment, List<RunResult> results) {
+    ExperimentPrinter printer = new ExperimentPrinter(experiment, results, System.out);
     if (!quiet) {
-      System.out.println("median (least..most) over the seeds, simulated:");
-      cells.forEach(
-          (values, runs) -> {
-            StringBuilder line =
-                new StringBuilder(
-                    values.isEmpty() ? "all" : values.toString().replaceAll("[{},]", ""));
-            for (String figure : experiment.shownFigures()) {
-              ResultTable.SeedSpread spread = ResultTable.seedSpread(runs, figure);
-              line.append("  ")
-                  .append(figure)
-                  .append(' ')
-                  .append(
-                      spread == null
-                          ? "-"
-                          : String.format(
-                              "%.3f (%.3f..%.3f)", spread.median(), spread.min(), spread.max()));
-            }
-            System.out.println(line);
-          });
+      printer.printCells();
     }
-    if (experiment.baseline() != null) {
-      printDifferences(experiment, cells);
-    }
-    boolean isEveryExpectationMet = true;
-    for (ResultTable.ExpectationResult expectation :
-        ResultTable.evaluate(experiment.expectations(), all)) {
-      isEveryExpectationMet &= expectation.isSatisfied();
-      System.out.printf(
-          "%s: %s; worst %.3f with %s seed %d; %d of %d runs break it%n",
-          expectation.isSatisfied() ? "holds" : "BROKEN",
-          expectation.expectation().text(),
-          expectation.worstValue(),
-          expectation.worstCell(),
-          expectation.worstSeed(),
-          expectation.violationCount(),
-          expectation.runCount());
-    }
-    List<RunResult> runsBreakingRules =
-        all.stream().filter(run -> run.figures().getOrDefault("rules-broken", 0.0) > 0).toList();
-    runsBreakingRules.stream()
-        .limit(5)
-        .forEach(
-            run -> System.out.println(run.values() + " seed " + run.seed() + ": " + run.verdict()));
-    System.out.printf("rules broken in %d of %d runs%n", runsBreakingRules.size(), all.size());
-    return isEveryExpectationMet && runsBreakingRules.isEmpty();
-  }
-
-  private static void printDifferences(
-      Experiment experiment, Map<Map<String, String>, List<RunResult>> cells) {
-    String name = experiment.baseline().name();
-    String base = experiment.baseline().values().get(0);
-    System.out.printf(
-        "difference from %s %s, mean over the same seeds [95%% interval]; * where it leaves out 0:%n",
-        name, base);
-    cells.forEach(
-        (values, runs) -> {
-          Map<String, String> baseValues = new LinkedHashMap<>(values);
-          baseValues.put(name, base);
-          if (values.get(name).equals(base) || !cells.containsKey(baseValues)) {
-            return;
-          }
-          StringBuilder line = new StringBuilder(values.toString().replaceAll("[{},]", ""));
-          for (String figure : experiment.shownFigures()) {
-            ResultTable.Difference difference =
-                ResultTable.difference(cells.get(baseValues), runs, figure);
-            line.append("  ")
-                .append(figure)
-                .append(' ')
-                .append(
-                    difference == null
-                        ? "-"
-                        : String.format(
-                            "%+.3f [%+.3f, %+.3f]%s",
-                            difference.mean(),
-                            difference.low(),
-                            difference.high(),
-                            difference.isSignificant() ? "*" : ""));
-          }
-          System.out.println(line);
-        });
+    printer.printDifferences();
+    boolean isEveryExpectationMet = printer.printExpectations();
+    boolean isFreeOfViolations = printer.printViolations();
+    return isEveryExpectationMet && isFreeOfViolations;
   }
 }
