Reports refuse folders without a run list whose settings differ between seeds

Cause: refused several builds and runs that are stored twice; other settings with other seeds are neither. Change: each stored result holds its settings; results of the same values must have the same. Nothing that was refused is accepted now.

--- a/src/main/java/fawndock/experiment/RunList.java
+++ b/src/main/java/fawndock/experiment/RunList.java
@@ -79,10 +79,13 @@
       throws IOException {
     Set<String> builds = new HashSet<>();
     Set<Experiment.Run> runs = new HashSet<>();
+    Map<Map<String, String>, String> settingsByValues = new HashMap<>();
     for (RunResult result : results) {
-      boolean isRepeatedRun = !runs.add(new Experiment.Run(result.values(), result.seed()));
       builds.add(result.build());
-      if (isRepeatedRun || builds.size() > 1) {
+      boolean isRepeatedRun = !runs.add(new Experiment.Run(result.values(), result.seed()));
+      String firstSettings = settingsByValues.putIfAbsent(result.values(), result.settings());
+      boolean hasOtherSettings = firstSettings != null && !firstSettings.equals(result.settings());
+      if (builds.size() > 1 || isRepeatedRun || hasOtherSettings) {
         throw new IOException(
             folder
                 + ": results of several settings or builds and no "
--- a/src/test/java/fawndock/experiment/RunListTest.java
+++ b/src/test/java/fawndock/experiment/RunListTest.java
@@ -20,6 +20,11 @@
         key, Map.of("fleet", fleet), seed, "", build, Map.of(), Map.of(), List.of(), "");
   }
 
+  private static RunResult resultOfSettings(String key, long seed, String settings) {
+    return new RunResult(
+        key, Map.of("fleet", "4"), seed, settings, "b1", Map.of(), Map.of(), List.of(), "");
+  }
+
   private static List<String> describe(List<RunResult> results) {
     return results.stream()
         .map(result -> result.key() + result.values() + result.seed() + result.build())
@@ -61,6 +66,16 @@
     }
   }
 
+  /**
+   * Different seeds of different settings are no run twice, but a median over both is of neither.
+   */
+  @Test
+  void select_noListAndOtherSettingsWithOtherSeeds_fails() {
+    RunResult result = resultOfSettings("k1", 1, "plan seat rate 5");
+    RunResult ofOtherSettings = resultOfSettings("k2", 2, "plan seat rate 10");
+    assertThrows(IOException.class, () -> RunList.select(folder, List.of(result, ofOtherSettings)));
+  }
+
   @Test
   void select_malformedList_fails() throws IOException {
     Files.writeString(folder.resolve("experiment-runs.json"), "[{\"key\":12,,}]");
