--- a/src/main/java/fawndock/cli/ExperimentPrinter.java
+++ b/src/main/java/fawndock/cli/ExperimentPrinter.java
@@ -89,10 +89,7 @@
 
   /** Prints the runs in which an invariant was violated; returns whether there is none. */
   boolean printViolations() {
-    List<RunResult> violatingRuns =
-        results.stream()
-            .filter(run -> run.figures().getOrDefault("rules-broken", 0.0) > 0)
-            .toList();
+    List<RunResult> violatingRuns = ResultTable.violatingRuns(results);
     violatingRuns.stream()
         .limit(MAX_SHOWN_VIOLATIONS)
         .forEach(run -> out.println(run.values() + " seed " + run.seed() + ": " + run.verdict()));
--- a/src/main/java/fawndock/experiment/ResultTable.java
+++ b/src/main/java/fawndock/experiment/ResultTable.java
@@ -16,6 +16,7 @@
  */
 public final class ResultTable {
   private static final double CONFIDENCE_LEVEL = 0.95;
+  private static final String VIOLATIONS_FIGURE = "rules-broken";
 
   /** Median, minimum and maximum of a figure over the seeds of one cell. */
   public record SeedSpread(double median, double min, double max, int seedCount) {}
@@ -57,6 +58,13 @@
     return cells;
   }
 
+  /** Returns the results of runs in which an invariant was violated. */
+  public static List<RunResult> violatingRuns(List<RunResult> results) {
+    return results.stream()
+        .filter(result -> result.figures().getOrDefault(VIOLATIONS_FIGURE, 0.0) > 0)
+        .toList();
+  }
+
   /** Returns the spread of a figure over one cell's results, or null when none has it. */
   public static SeedSpread seedSpread(List<RunResult> cell, String figure) {
     double[] values =
--- a/src/main/java/fawndock/report/HtmlReport.java
+++ b/src/main/java/fawndock/report/HtmlReport.java
@@ -119,10 +119,7 @@
   private void appendExpectations() {
     List<ResultTable.ExpectationResult> evaluated =
         ResultTable.evaluate(experiment.expectations(), results);
-    long violatingRunCount =
-        results.stream()
-            .filter(result -> result.figures().getOrDefault("rules-broken", 0.0) > 0)
-            .count();
+    int violatingRunCount = ResultTable.violatingRuns(results).size();
     html.append(
         "<h2>Expected</h2><table><tr><th class=n>what<th class=n>holds<th>worst<th class=n>with<th>runs<th>break it");
     for (ResultTable.ExpectationResult evaluation : evaluated) {
@@ -139,7 +136,7 @@
           evaluation.violationCount());
     }
     appendExpectationRow(
-        "the five rules", violatingRunCount == 0, "", "", results.size(), (int) violatingRunCount);
+        "the five rules", violatingRunCount == 0, "", "", results.size(), violatingRunCount);
     html.append("</table>");
   }
 
