Reports no longer end with an exception at a figure that no run has

What callers saw: with `show use nothing` an experiment runs and prints "nothing -"; `fawndock report` on its results ended with NoSuchElementException from the chart library and wrote no page. Cause: PlotSelection.byVariable made a line of missing values for each cell without the figure, and a plot of nothing else cannot be drawn. Why the fix works: a cell without the figure makes no line, so that no such plot is made.

--- a/src/main/java/fawndock/report/PlotSelection.java
+++ b/src/main/java/fawndock/report/PlotSelection.java
@@ -73,7 +73,8 @@
   /**
    * Returns plots of a figure's medians by the values of a variable. Each combination of the other
    * variables that vary is a line; when one plot would have more than {@value #MAX_LINES} lines,
-   * the first of these variables are split over several plots.
+   * the first of these variables are split over several plots. A combination without the figure has
+   * no line.
    *
    * @param axis the variable on the x-axis
    * @param resultsByName sets of results to compare, by name; the name of a single set is empty
@@ -110,6 +111,9 @@
                 .forEach(
                     (values, cell) -> {
                       ResultTable.SeedSpread spread = ResultTable.seedSpread(cell, figure);
+                      if (spread == null) {
+                        return;
+                      }
                       String line =
                           (label(values, lineVariables)
                                   + (resultsName.isEmpty() ? "" : ", " + resultsName))
@@ -125,9 +129,7 @@
                                     Arrays.fill(missing, Double.NaN);
                                     return missing;
                                   });
-                      if (spread != null) {
-                        lineValues[xAxisValues.indexOf(values.get(axis))] = spread.median();
-                      }
+                      lineValues[xAxisValues.indexOf(values.get(axis))] = spread.median();
                     }));
     List<Plot> result = new ArrayList<>();
     plots.forEach(
--- a/src/test/java/fawndock/report/ReportTest.java
+++ b/src/test/java/fawndock/report/ReportTest.java
@@ -75,6 +75,26 @@
             .allMatch(p -> p.series().size() <= PlotSelection.MAX_LINES));
   }
 
+  /** A misspelled figure in the experiment file ended the report with an exception. */
+  @Test
+  void write_figureThatNoRunHas_makesNoPlotOfIt(@TempDir Path directory) throws Exception {
+    assertEquals(List.of(), PlotSelection.byVariable("fleet", "speed", Map.of("", results(0))));
+    Experiment experiment =
+        new Experiment(
+            "Misspelled",
+            directory.resolve("x"),
+            List.of(),
+            List.of(),
+            List.of(1L, 2L),
+            List.of("speed", "use"),
+            List.of(),
+            null,
+            "fleet");
+    String page =
+        Files.readString(new HtmlReport(experiment, results(0), List.of(), directory).write());
+    assertTrue(page.contains("<td class=n>fleet 4, mode calm, rate 1<td>-<td>5.000"), page);
+  }
+
   @Test
   void write_oneSetOfResults_makesSelfContainedPage(@TempDir Path directory) throws Exception {
     Experiment experiment =
