--- a/review/3/Case3.java
+++ b/review/3/Case3.java
@@ -26,6 +26,11 @@
   /** How long the other worker takes no connection, from that failure; the page allows 1 s, up to 1.5 s. */
   private static final long LATE_MS = 700;
 
+  /** Other requests that are in work meanwhile, each on a connection that came up at once. */
+  private static final int OTHERS = 5;
+
+  private static final long OTHER_WORK_MS = 700;
+
   /** One attempt as a worker saw it; its time is that of its last byte. */
   private record Arrival(String worker, String id, String key, long nanos, boolean hasRun) {}
 
@@ -119,6 +124,12 @@
     private void answer(byte[][] words, long nowNanos, OutputStream out) throws Exception {
       String id = Kit.text(words[2]);
       String list = Kit.text(words[3]);
+      if (list.startsWith("c=ver-reserva")) {
+        record.line("%s runs %s, another request", name, id);
+        Thread.sleep(OTHER_WORK_MS);
+        serve(id, out);
+        return;
+      }
       String key = list.replaceAll(".*,k=([^,]*).*", "$1");
       boolean isFirst;
       boolean isDropped;
@@ -143,6 +154,10 @@
         }
         return;
       }
+      serve(id, out);
+    }
+
+    private static void serve(String id, OutputStream out) throws IOException {
       String value = "done " + id;
       out.write(("*3\r\n$" + value.length() + "\r\n" + value + "\r\n$-1\r\n$-1\r\n").getBytes());
     }
@@ -182,6 +197,12 @@
         Kit.Gateway gateway =
             new Kit.Gateway(root, temporary, settings, 192, 1_024, discovery.address(), counter.address())) {
       gateway.awaitReady();
+      for (int i = 1; i <= OTHERS; i++) {
+        byte[] other =
+            Kit.encode("Q.ASK", Kit.id(0x100 + i), Kit.id(0xb0000000L + i), "c=ver-reserva,t=mayorista,d=3000,units=1,spread=1,first=0");
+        Kit.daemon("other client", () -> askOnce(gateway.port, other, record));
+      }
+      Thread.sleep(100);
       try (Kit.Client client = new Kit.Client(gateway.port)) {
         client.socket.setSoTimeout(8_000);
         String id = "00000000a0000001";
@@ -199,6 +220,13 @@
     return judge(record);
   }
 
+  private static void askOnce(int port, byte[] command, Kit.Record record) throws IOException {
+    try (Kit.Client client = new Kit.Client(port)) {
+      client.send(command);
+      record.line("another client gets %s", client.in.reply().brief());
+    }
+  }
+
   private static boolean judge(Kit.Record record) {
     long runs = arrivals.stream().filter(Arrival::hasRun).count();
     if (arrivals.size() < 2) {
