Writes need no direct memory of their own, and a failed one closes its connection

Cause: ClientConnection joins all responses that waited for the first into one write of 3.9 MB. Netty copies a heap buffer to direct memory as a whole before it is written; when that does not fit in the 8 MB of the process, the write fails, the bytes are dropped and the connection stays open. No caller looked at the result; the comments said that a failed write closes the connection, which is so for failures of the socket alone.

Evidence, with the result of each write logged on the text before: write failed: bytes=3867248 active=true cause=java.lang.OutOfMemoryError: Cannot reserve 3867248 bytes of direct buffer memory (allocated: 4988936, limit: 8388608) once for each connection that lost its answers, 0.54 s after one another, as the JDK waits for memory: the event loop stood still meanwhile.

Change: bytes are written from the heap in pieces of 64 KiB (OutboundBytes), through the JDK's one buffer of the thread, so what waits for a client needs no direct memory, however much it is. A write that fails all the same closes its connection in ByteConnection.send, which clients, backends and the counter use, and is logged; DiscoveryCall ends its call.

--- a/src/main/java/fawndock/fake/FakePlatform.java
+++ b/src/main/java/fawndock/fake/FakePlatform.java
@@ -30,6 +30,7 @@
   private final Path configurationFile;
   private final int port;
   private final int socketLimit;
+  private int memoryMegabytes = 128;
   public final FakeRespServer backend;
   public final FakeRespServer counter;
   public final FakeDiscoveryServer discovery;
@@ -73,7 +74,9 @@
             + port
             + "\",\"discovery\":\"127.0.0.1:"
             + discoveryPort
-            + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":128,\"sockets\":"
+            + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":"
+            + memoryMegabytes
+            + ",\"sockets\":"
             + socketLimit
             + "},\"counter\":\"127.0.0.1:"
             + counterPort
@@ -82,6 +85,12 @@
             + "}");
   }
 
+  /** Limits the memory of the gateway, as written to the configuration. */
+  public void limitMemory(int megabytes) throws IOException {
+    memoryMegabytes = megabytes;
+    writeConfiguration(discovery.port(), counter.port());
+  }
+
   /** Writes a text to the configuration file, whether it is valid or not. */
   public void writeFile(String text) throws IOException {
     Files.writeString(configurationFile, text);
--- a/src/main/java/fawndock/platform/ByteConnection.java
+++ b/src/main/java/fawndock/platform/ByteConnection.java
@@ -6,13 +6,18 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
+import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Base class of connections: reads and writes bytes, buffers unread bytes until more arrive, and
  * can half-close without losing a response. Confined to one event loop.
  */
 abstract class ByteConnection extends ChannelInboundHandlerAdapter implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(ByteConnection.class);
+
   /** Time that the peer has to close after a half-close. */
   private static final long LINGER_TIMEOUT_MILLIS = 1_000;
 
@@ -50,8 +55,7 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
-    // Most often the peer has reset the connection.
-    closeChannel();
+    closeAfterFailure(cause);
   }
 
   @Override
@@ -97,9 +101,31 @@
     return bufferedBytes.isReadable();
   }
 
-  /** Writes bytes. The future succeeds once all of them were handed to the network. */
+  /**
+   * Writes bytes, which must not be changed afterwards. The future succeeds once all of them were
+   * handed to the network. If it fails the connection is closed, because the bytes are missing from
+   * the stream and everything after them would be taken for something else.
+   */
   final ChannelFuture send(ByteBuf bytes) {
-    return context.writeAndFlush(bytes);
+    return context
+        .writeAndFlush(new OutboundBytes(bytes))
+        .addListener(
+            written -> {
+              if (!written.isSuccess()) {
+                closeAfterFailure(written.cause());
+              }
+            });
+  }
+
+  private void closeAfterFailure(Throwable cause) {
+    // An IOException means that the peer has closed or reset the connection.
+    if (!(cause instanceof IOException)) {
+      LOG.warn(
+          "connection closed after a failure: remote={} cause={}",
+          context.channel().remoteAddress(),
+          cause.toString());
+    }
+    closeChannel();
   }
 
   final boolean isWritable() {
--- a/src/main/java/fawndock/platform/DiscoveryCall.java
+++ b/src/main/java/fawndock/platform/DiscoveryCall.java
@@ -104,8 +104,14 @@
     DefaultFullHttpRequest request =
         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
     request.headers().set(HttpHeaderNames.HOST, hostHeader);
-    // A failed write closes the connection, and channelInactive ends the call.
-    var unused = handlerContext.writeAndFlush(request);
+    handlerContext
+        .writeAndFlush(request)
+        .addListener(
+            written -> {
+              if (!written.isSuccess()) {
+                end("request not written: " + written.cause(), false);
+              }
+            });
   }
 
   @Override
--- a/src/main/java/fawndock/platform/InMemoryTransport.java
+++ b/src/main/java/fawndock/platform/InMemoryTransport.java
@@ -1,13 +1,13 @@
 package fawndock.platform;
 
 import fawndock.settings.Address;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.DefaultChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.Context;
 import java.net.ConnectException;
 import java.util.HashMap;
@@ -36,12 +36,13 @@
 
     @Override
     protected void handleOutboundMessage(Object message) {
+      ByteBuf bytes = ((OutboundBytes) message).content();
       eventLoop.execute(
           () -> {
             if (peer != null && peer.isActive()) {
-              peer.writeInbound(message);
+              peer.writeInbound(bytes);
             } else {
-              ReferenceCountUtil.release(message);
+              bytes.release();
             }
           });
     }
--- a/src/main/java/fawndock/platform/TcpTransport.java
+++ b/src/main/java/fawndock/platform/TcpTransport.java
@@ -59,6 +59,7 @@
         .handler(handler)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.MESSAGE_SIZE_ESTIMATOR, OutboundBytes.SIZE_ESTIMATOR)
         .connect(new InetSocketAddress(address.host(), address.port()));
   }
 
@@ -74,6 +75,7 @@
         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.MESSAGE_SIZE_ESTIMATOR, OutboundBytes.SIZE_ESTIMATOR)
         .childHandler(
             new ChannelInitializer<Channel>() {
               @Override
