Responses that cannot be written yet have a bound on their bytes

Cause: responses were limited by their number on a connection (64), not by their bytes, and were handed to Netty whether the client read or not.

Change: ResponseMemory bounds them to an eighth of the process's memory. A pipelined request is refused unsent while responses of the expected size would not fit; beyond the bound the longest queue drops its last value, and that request gets -ERR failed. ResponseQueue, taken out of ClientConnection, writes as the client reads; under pressure a client that does not read is closed after 1 s instead of 4. The command is let go with its response.

Measured: PipelinedResponsesTest.longResponses_beyondTheHeap_... ends the process with the commit before and passes with this one.

--- a/src/main/java/fawndock/platform/ByteConnection.java
+++ b/src/main/java/fawndock/platform/ByteConnection.java
@@ -128,7 +128,8 @@
     closeChannel();
   }
 
-  final boolean isWritable() {
+  /** Returns whether less than the channel's high water mark is waiting to be written. */
+  public final boolean isWritable() {
     return context.channel().isWritable();
   }
 
--- a/src/main/java/fawndock/platform/ClientConnection.java
+++ b/src/main/java/fawndock/platform/ClientConnection.java
@@ -6,15 +6,13 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
-import java.util.ArrayDeque;
-import java.util.List;
 
 /**
  * One client's connection: reads commands and writes their responses in the same order. After a
  * protocol error the client gets an error reply after all pending responses, and no further command
  * is read. Confined to one event loop.
  */
-final class ClientConnection extends ByteConnection {
+final class ClientConnection extends ByteConnection implements ResponseQueue.Output {
   /**
    * Maximum number of commands in flight on one connection; a client that exceeds it is
    * disconnected.
@@ -33,37 +31,9 @@
   /** Value of the timestamps below while their condition does not hold. */
   private static final long NEVER = 0;
 
-  private static final long NO_REQUEST = -1;
-
-  /** The position of one command's response in the connection's response order. */
-  final class ResponseSlot {
-    private ByteBuf response;
-    private ClientExchange exchange;
-    private long requestId = NO_REQUEST;
-
-    /** Sets the response, which is written once all earlier responses have been. */
-    void respond(ByteBuf bytes) {
-      response = bytes;
-      if (exchange != null) {
-        listener.release(exchange);
-      }
-      flushResponses();
-    }
-
-    void respondError(String error) {
-      ByteBuf out = Unpooled.buffer(error.length() + 4);
-      new ReplyWriter(out).error(error);
-      respond(out);
-    }
-
-    private boolean isInFlight() {
-      return response == null && requestId != NO_REQUEST;
-    }
-  }
-
   private final ClientListener listener;
   private final CommandReader reader = new CommandReader(COMMAND_LIMITS);
-  private final ArrayDeque<ResponseSlot> responseSlots = new ArrayDeque<>(2);
+  private final ResponseQueue responses;
 
   /** Time at which the connection was accepted or last wrote a response. */
   private long idleSinceMicros;
@@ -79,10 +49,12 @@
 
   private boolean hasSentCommand;
   private boolean isReadingCommands;
+  private boolean isFlushing;
   private boolean isDisconnectHandled;
 
   ClientConnection(ClientListener listener) {
     this.listener = listener;
+    responses = new ResponseQueue(listener.responseMemory(), this, listener::release);
     idleSinceMicros = listener.nowMicros();
   }
 
@@ -114,7 +86,7 @@
     try {
       for (byte[][] arguments = nextCommand(in); arguments != null; arguments = nextCommand(in)) {
         hasReadCommand = true;
-        if (responseSlots.size() >= MAX_PENDING_RESPONSES) {
+        if (responses.size() >= MAX_PENDING_RESPONSES) {
           fail(PlatformProtocol.ERROR_TOO_MANY_COMMANDS);
         } else {
           onCommand(arguments);
@@ -144,7 +116,7 @@
 
   private void onCommand(byte[][] arguments) {
     hasSentCommand = true;
-    ResponseSlot slot = addSlot();
+    ResponseQueue.Slot slot = responses.addSlot();
     if (ClientCommandParser.isRequest(arguments[0])) {
       onRequest(arguments, slot);
     } else if (arguments.length == 1
@@ -157,62 +129,63 @@
     }
   }
 
-  private void onRequest(byte[][] arguments, ResponseSlot slot) {
+  private void onRequest(byte[][] arguments, ResponseQueue.Slot slot) {
     try {
       ClientCommand command = listener.parser().parse(arguments, listener.nowMicros());
-      String error = listener.admissionError(command);
+      String error = listener.admissionError(command, slot.isQueued());
       if (error != null) {
         slot.respondError(error);
         return;
       }
-      slot.exchange = new ClientExchange(command, slot);
-      slot.requestId = listener.submit(slot.exchange);
+      ClientExchange exchange = new ClientExchange(command, slot);
+      slot.setExchange(exchange);
+      slot.setRequestId(listener.submit(exchange));
     } catch (InvalidCommandException e) {
       slot.respondError(e.getMessage());
     }
   }
 
-  private ResponseSlot addSlot() {
-    ResponseSlot slot = new ResponseSlot();
-    responseSlots.add(slot);
-    return slot;
-  }
-
   /** Responds with an error after all pending responses, and then closes the connection. */
   private void fail(String error) {
-    ResponseSlot slot = addSlot();
+    ResponseQueue.Slot slot = responses.addSlot();
     failedSinceMicros = listener.nowMicros();
     incompleteSinceMicros = NEVER;
     slot.respondError(error);
   }
 
-  /** Writes, in order, the responses that wait for no earlier one. */
+  /** Writes the responses that wait for no earlier one, unless the client does not read. */
   private void flushResponses() {
-    if (isReadingCommands || isClosed()) {
+    if (isReadingCommands || isFlushing || isClosed()) {
       return;
     }
-    ByteBuf out = null;
-    while (!responseSlots.isEmpty() && responseSlots.peek().response != null) {
-      ByteBuf next = responseSlots.poll().response;
-      out = out == null ? next : Unpooled.wrappedBuffer(out, next);
-    }
-    if (out != null) {
+    // A write may change the writability, which is reported before it returns.
+    isFlushing = true;
+    if (responses.writeReady()) {
       idleSinceMicros = listener.nowMicros();
-      // A failed write closes the connection, which is reported as a disconnect.
-      var unused = send(out);
-      if (!isWritable() && unwritableSinceMicros == NEVER) {
-        unwritableSinceMicros = idleSinceMicros;
-      }
+    }
+    isFlushing = false;
+    if (!isWritable() && unwritableSinceMicros == NEVER) {
+      unwritableSinceMicros = listener.nowMicros();
     }
     boolean isDrained = listener.isDraining() && isQuiescent();
-    if (responseSlots.isEmpty() && (failedSinceMicros != NEVER || isDrained)) {
+    if (responses.isEmpty() && (failedSinceMicros != NEVER || isDrained)) {
       closeGracefully();
     }
   }
 
+  @Override
+  public void onResponse() {
+    flushResponses();
+  }
+
+  @Override
+  public void write(ByteBuf bytes, Runnable onDone) {
+    send(bytes).addListener(done -> onDone.run());
+  }
+
   /** Returns whether no response is pending and no byte of another command has been received. */
   private boolean isQuiescent() {
-    return responseSlots.isEmpty() && incompleteSinceMicros == NEVER && !hasBufferedBytes();
+    return responses.isEmpty() && incompleteSinceMicros == NEVER && !hasBufferedBytes();
   }
 
   /** Returns whether the connection has been quiescent for at least this time. */
@@ -225,7 +198,7 @@
   }
 
   boolean hasPendingResponses() {
-    return !responseSlots.isEmpty();
+    return !responses.isEmpty();
   }
 
   /** Closes the connection if it exceeds one of the listener's timeouts. */
@@ -233,8 +206,7 @@
     boolean isFirstCommandOverdue =
         !hasSentCommand && isIdle(nowMicros, ClientListener.COMMAND_TIMEOUT_MICROS);
     if (isFirstCommandOverdue
-        || hasElapsed(
-            nowMicros, unwritableSinceMicros, ClientListener.UNREAD_RESPONSE_TIMEOUT_MICROS)
+        || hasElapsed(nowMicros, unwritableSinceMicros, listener.unreadResponseTimeoutMicros())
         || hasElapsed(nowMicros, failedSinceMicros, ClientListener.COMMAND_TIMEOUT_MICROS)
         || isIdle(nowMicros, listener.idleTimeoutMicros())) {
       closeGracefully();
@@ -257,19 +229,18 @@
 
   /** Responds to all requests in flight with the error for a shutdown. */
   void failRequestsInFlight() {
-    for (ResponseSlot slot : List.copyOf(responseSlots)) {
-      if (slot.isInFlight()) {
-        listener.onClientDisconnected(slot.requestId);
-        slot.respondError(PlatformProtocol.ERROR_SHUTTING_DOWN);
-      }
-    }
+    responses.failRequestsInFlight(
+        PlatformProtocol.ERROR_SHUTTING_DOWN, listener::onClientDisconnected);
   }
 
   /**
-   * Closes the connection once everything written has been sent; bytes received meanwhile are
-   * discarded.
+   * Closes the connection once all responses that wait for no earlier one have been sent; bytes
+   * received meanwhile are discarded.
    */
   void closeGracefully() {
+    if (!isClosed()) {
+      responses.writeAllReady();
+    }
     halfClose();
     listener.onHalfClosed(this);
     onDisconnected();
@@ -279,6 +250,7 @@
   public void channelWritabilityChanged(ChannelHandlerContext handlerContext) {
     if (unwritableSinceMicros != NEVER && isWritable()) {
       unwritableSinceMicros = NEVER;
+      flushResponses();
       redeliverBufferedBytes();
     }
     handlerContext.fireChannelWritabilityChanged();
@@ -291,12 +263,6 @@
     }
     isDisconnectHandled = true;
     listener.onClosed(this);
-    for (ResponseSlot slot : responseSlots) {
-      if (slot.isInFlight()) {
-        listener.release(slot.exchange);
-        listener.onClientDisconnected(slot.requestId);
-      }
-    }
-    responseSlots.clear();
+    responses.clear(listener::onClientDisconnected);
   }
 }
--- a/src/main/java/fawndock/platform/ClientExchange.java
+++ b/src/main/java/fawndock/platform/ClientExchange.java
@@ -14,9 +14,9 @@
   private static final int FRAMING_BYTES = 16;
 
   private final ClientCommand command;
-  private final ClientConnection.ResponseSlot slot;
+  private final ResponseQueue.Slot slot;
 
-  ClientExchange(ClientCommand command, ClientConnection.ResponseSlot slot) {
+  ClientExchange(ClientCommand command, ResponseQueue.Slot slot) {
     this.command = command;
     this.slot = slot;
   }
@@ -34,7 +34,7 @@
   void respondValue(byte[] value) {
     ByteBuf out = Unpooled.buffer(value.length + FRAMING_BYTES);
     new ReplyWriter(out).bulkString(value);
-    slot.respond(out);
+    slot.respondValue(out);
   }
 
   @Override
--- a/src/main/java/fawndock/platform/ClientListener.java
+++ b/src/main/java/fawndock/platform/ClientListener.java
@@ -25,6 +25,9 @@
   /** Time after which a connection is closed whose client does not read its responses. */
   static final long UNREAD_RESPONSE_TIMEOUT_MICROS = 4_000_000;
 
+  /** The same while the memory for responses is exhausted. */
+  private static final long SHORT_UNREAD_RESPONSE_TIMEOUT_MICROS = 1_000_000;
+
   /**
    * Idle timeout below half of the connection limit. It is long because a request may be in transit
    * whenever a connection is closed.
@@ -45,13 +48,15 @@
    * @param maxConnections connections, including half-closed ones
    * @param maxRequests requests in flight
    * @param maxRequestBytes bytes held by all requests in flight
+   * @param maxResponseBytes bytes held by all responses that cannot be written yet
    */
-  record Limits(int maxConnections, int maxRequests, long maxRequestBytes) {}
+  record Limits(int maxConnections, int maxRequests, long maxRequestBytes, long maxResponseBytes) {}
 
   private final TcpTransport transport;
   private final PolicyRunner runner;
   private final ClientCommandParser parser;
   private final Limits limits;
+  private final ResponseMemory responseMemory;
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
   /**
@@ -73,6 +78,7 @@
     this.runner = runner;
     this.parser = parser;
     this.limits = limits;
+    this.responseMemory = new ResponseMemory(limits.maxResponseBytes());
   }
 
   /** Starts to accept connections; the future fails if the address cannot be bound. */
@@ -136,14 +142,30 @@
     return areConnectionsScarce ? SHORT_IDLE_TIMEOUT_MICROS : LONG_IDLE_TIMEOUT_MICROS;
   }
 
-  /** Returns the error reply for a command that is not admitted, or null if it is admitted. */
-  String admissionError(ClientCommand command) {
+  /** Returns the time after which a connection is closed whose client does not read. */
+  long unreadResponseTimeoutMicros() {
+    return responseMemory.isExhausted()
+        ? SHORT_UNREAD_RESPONSE_TIMEOUT_MICROS
+        : UNREAD_RESPONSE_TIMEOUT_MICROS;
+  }
+
+  ResponseMemory responseMemory() {
+    return responseMemory;
+  }
+
+  /**
+   * Returns the error reply for a command that is not admitted, or null if it is admitted.
+   *
+   * @param isQueued whether the response has to wait for an earlier one of the connection
+   */
+  String admissionError(ClientCommand command, boolean isQueued) {
     if (inFlightIds.contains(command.id())) {
       return PlatformProtocol.ERROR_DUPLICATE_ID;
     }
     boolean isOverLimit =
         inFlightIds.size() >= limits.maxRequests()
-            || inFlightBytes + command.sizeBytes() > limits.maxRequestBytes();
+            || inFlightBytes + command.sizeBytes() > limits.maxRequestBytes()
+            || (isQueued && !responseMemory.admitsQueuedRequest());
     return isOverLimit ? PlatformProtocol.ERROR_REJECTED : null;
   }
 
--- a/src/main/java/fawndock/platform/PlatformGateway.java
+++ b/src/main/java/fawndock/platform/PlatformGateway.java
@@ -41,6 +41,9 @@
   /** Requests in flight may hold the process's memory limit divided by this. */
   private static final long REQUEST_MEMORY_DIVISOR = 16;
 
+  /** Responses that cannot be written yet may hold the process's memory limit divided by this. */
+  private static final long RESPONSE_MEMORY_DIVISOR = 8;
+
   /** Time to wait for a list from discovery before listening with the known endpoint list. */
   private static final long FIRST_LIST_TIMEOUT_MICROS = 3_000_000;
 
@@ -128,7 +131,8 @@
         new ClientListener.Limits(
             (int) (CLIENT_SOCKET_RATIO * config.maxSockets()),
             config.policy().limits().maxInFlight(),
-            config.memoryBytes() / REQUEST_MEMORY_DIVISOR));
+            config.memoryBytes() / REQUEST_MEMORY_DIVISOR,
+            config.memoryBytes() / RESPONSE_MEMORY_DIVISOR));
   }
 
   /** Watches endpoint discovery, and listens once an endpoint list is available. */
--- a/src/test/java/fawndock/platform/PipelinedResponsesTest.java
+++ b/src/test/java/fawndock/platform/PipelinedResponsesTest.java
@@ -194,4 +194,10 @@
   void longResponses_behindASlowOne_reachTheirRequests() throws Exception {
     assertTrue(playInProcess(192, 57, 6) > 0);
   }
+
+  /** Guards against an exhausted heap by responses that wait for an earlier one. */
+  @Test
+  void longResponses_beyondTheHeap_endInErrorsInsteadOfTheProcess() throws Exception {
+    assertTrue(playInProcess(64, 20, 10) > 0);
+  }
 }
