An attempt whose connection comes up after its repeat's window is not sent

Its first attempt had run and failed; the repeat reached a worker 1.35 to 1.37 s after it, with a window of 1.2 s in which workers drop repeats.

Cause: the window is looked at when the endpoint is selected. The attempt then waits for its connection, for the connect timeout and longer if connections break, and nothing looked at the window when it was written.

Change: StartAttempt tells until when the attempt may be sent, which IdempotencyRules computes. InFlightAttempt keeps it; an attempt asks maySend immediately before it writes, and ends at that time unless it is wholly written. The HTTP gateway had the same gap and others: it now also looks at the client, and at endpoints that drain or were removed while it connected.

--- a/src/main/java/fawndock/gateway/BackendAttempt.java
+++ b/src/main/java/fawndock/gateway/BackendAttempt.java
@@ -30,6 +30,9 @@
     /** Returns request options with an endpoint's address, or null if the address is unknown. */
     RequestOptions requestOptions(String endpointId);
 
+    /** Returns whether an endpoint is known and takes new requests. */
+    boolean isAvailable(String endpointId);
+
     BackendPools backendPools();
 
     /** Returns the number of response body bytes above which a response is streamed. */
@@ -77,6 +80,9 @@
                 }
               } else if (connected.failed()) {
                 finish(CallResult.CONNECT_FAILED);
+              } else if (!maySend() || !backends.isAvailable(endpointId)) {
+                finish(CallResult.NOT_SENT);
+                resetIgnoringResult(connected.result());
               } else {
                 send(connected.result());
               }
@@ -186,6 +192,13 @@
     }
   }
 
+  @Override
+  protected void onSendDeadlineExceeded() {
+    if (stage == Stage.CONNECTING) {
+      finish(CallResult.NOT_SENT);
+    }
+  }
+
   @Override
   protected void onDeadlineExceeded() {
     if (stage == Stage.CONNECTING) {
@@ -215,6 +228,7 @@
   }
 
   private static void resetIgnoringResult(HttpClientRequest stream) {
+    stream.exceptionHandler(ignored -> {}); // Without a handler the reset is logged as an error.
     var unused = stream.reset(CallResults.CANCEL); // The attempt has already completed.
   }
 
--- a/src/main/java/fawndock/gateway/EndpointWatch.java
+++ b/src/main/java/fawndock/gateway/EndpointWatch.java
@@ -20,8 +20,10 @@
 import io.vertx.core.parsetools.RecordParser;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -46,6 +48,7 @@
   private final Consumer<EndpointUpdate> listener;
   private final HttpClient httpClient;
   private final Map<String, Address> addresses = new HashMap<>();
+  private final Set<String> drainingIds = new HashSet<>();
 
   /**
    * The active stream, or a placeholder for the one that is opened after the backoff; events of all
@@ -114,6 +117,11 @@
     return addresses.get(endpointId);
   }
 
+  /** Returns whether an endpoint is known and not draining, so that requests may be sent to it. */
+  boolean isAvailable(String endpointId) {
+    return addresses.containsKey(endpointId) && !drainingIds.contains(endpointId);
+  }
+
   /** Opens or reopens the stream, which the discovery server starts with a snapshot. */
   void watch() {
     if (settings.address() != null && !isClosed) {
@@ -198,13 +206,23 @@
     addresses.putAll(message.addresses());
     if (isSnapshot) {
       addresses.keySet().retainAll(message.addresses().keySet());
+      drainingIds.clear();
     }
-    message.endpoints().stream()
-        .filter(endpoint -> endpoint.state() == EndpointState.REMOVED)
-        .forEach(endpoint -> addresses.remove(endpoint.id()));
+    message.endpoints().forEach(this::updateState);
     listener.accept(new EndpointUpdate(message.kind(), message.endpoints()));
   }
 
+  private void updateState(Endpoint endpoint) {
+    if (endpoint.state() == EndpointState.DRAINING) {
+      drainingIds.add(endpoint.id());
+    } else {
+      drainingIds.remove(endpoint.id());
+    }
+    if (endpoint.state() == EndpointState.REMOVED) {
+      addresses.remove(endpoint.id());
+    }
+  }
+
   private void restartIdleTimer(WatchStream stream) {
     timers.cancel(idleTimer);
     idleTimer = timers.schedule(settings.watchIdleTimeoutMicros(), () -> onLost(stream, "silent"));
--- a/src/main/java/fawndock/gateway/GatewayVerticle.java
+++ b/src/main/java/fawndock/gateway/GatewayVerticle.java
@@ -197,6 +197,11 @@
         : new RequestOptions().setHost(address.host()).setPort(address.port());
   }
 
+  @Override
+  public boolean isAvailable(String endpointId) {
+    return endpointWatch.isAvailable(endpointId);
+  }
+
   @Override
   public BackendPools backendPools() {
     return backendPools;
--- a/src/main/java/fawndock/gateway/WarmUp.java
+++ b/src/main/java/fawndock/gateway/WarmUp.java
@@ -195,6 +195,11 @@
     return new RequestOptions().setHost("127.0.0.1").setPort(backendPort);
   }
 
+  @Override
+  public boolean isAvailable(String endpointId) {
+    return true;
+  }
+
   @Override
   public InFlightAttempt createAttempt(InFlightRequest request, int index, String endpointId) {
     return new BackendAttempt(policyRunner, request, index, endpointId, this);
--- a/src/main/java/fawndock/platform/BackendAttempt.java
+++ b/src/main/java/fawndock/platform/BackendAttempt.java
@@ -69,9 +69,10 @@
       return;
     }
     long timeoutMillis = (deadlineMicros - runner.clock().nowMicros()) / 1_000;
-    // The endpoint may have been reported as draining in the same turn in which it was selected.
-    // Nothing has been sent, so the policy may select another one.
-    if (timeoutMillis <= 0 || pools.isUnavailable(endpointId)) {
+    // The endpoint may have been reported as draining, or the time in which a retry is safe may
+    // have
+    // passed, while the connection was opened. Nothing has been sent, so the policy decides again.
+    if (timeoutMillis <= 0 || !maySend() || pools.isUnavailable(endpointId)) {
       abandon(CallResult.NOT_SENT);
       return;
     }
@@ -130,6 +131,13 @@
     }
   }
 
+  @Override
+  protected void onSendDeadlineExceeded() {
+    if (!isWriteComplete) {
+      abandon(isWriteStarted ? CallResult.CONNECT_FAILED : CallResult.NOT_SENT);
+    }
+  }
+
   @Override
   protected void onDeadlineExceeded() {
     abandon(isWriteComplete ? CallResult.TIMEOUT : CallResult.CONNECT_FAILED);
--- a/src/main/java/fawndock/policy/retry/IdempotencyRules.java
+++ b/src/main/java/fawndock/policy/retry/IdempotencyRules.java
@@ -2,6 +2,7 @@
 
 import fawndock.policy.Attempt;
 import fawndock.policy.PendingRequest;
+import fawndock.policy.action.StartAttempt;
 import fawndock.policy.config.DeduplicationScope;
 import fawndock.policy.config.Idempotency;
 import fawndock.policy.config.RequestClass;
@@ -26,19 +27,28 @@
   public boolean allowsRetry(PendingRequest request, long nowMicros) {
     return switch (request.requestClass().config().idempotency()) {
       case IDEMPOTENT -> true;
-      case DEDUPLICATED -> isWithinDeduplicationWindow(request, nowMicros);
+      case DEDUPLICATED -> nowMicros < sendDeadlineMicros(request);
       case AT_MOST_ONCE -> !RetryPolicy.mayHaveTakenEffect(request);
     };
   }
 
-  private boolean isWithinDeduplicationWindow(PendingRequest request, long nowMicros) {
+  /**
+   * Returns until when the request may be sent to an endpoint, in microseconds. A deduplicated
+   * request that may have taken effect may be sent only while endpoints discard its duplicates.
+   */
+  public long sendDeadlineMicros(PendingRequest request) {
+    RequestClass requestClass = request.requestClass().config();
+    if (requestClass.idempotency() != Idempotency.DEDUPLICATED) {
+      return StartAttempt.NO_SEND_DEADLINE;
+    }
     for (Attempt attempt : request.attempts()) {
       if (attempt.mayHaveTakenEffect()) {
-        long windowMicros = request.requestClass().config().deduplicationWindowMicros();
-        return attempt.startedAtMicros() + windowMicros > nowMicros + deduplicationMarginMicros;
+        return attempt.startedAtMicros()
+            + requestClass.deduplicationWindowMicros()
+            - deduplicationMarginMicros;
       }
     }
-    return true;
+    return StartAttempt.NO_SEND_DEADLINE;
   }
 
   /**
--- a/src/main/java/fawndock/policy/routing/EndpointRouter.java
+++ b/src/main/java/fawndock/policy/routing/EndpointRouter.java
@@ -20,6 +20,7 @@
   private final ConcurrencyLimiter limiter;
   private final EndpointTable endpoints;
   private final EndpointSelector selector;
+  private final IdempotencyRules idempotency;
   private final AttemptOutcomeRecorder outcomeRecorder;
 
   /** Creates a router that uses the random number generator of the whole policy. */
@@ -30,6 +31,7 @@
       IdempotencyRules idempotency,
       long maxLatencyObjectiveMicros) {
     this.context = context;
+    this.idempotency = idempotency;
     this.limiter = new ConcurrencyLimiter(config.instanceCount());
     this.endpoints = new EndpointTable(context, limiter, config);
     this.outcomeRecorder = new AttemptOutcomeRecorder(context, limiter);
@@ -58,11 +60,16 @@
   /** Sends an attempt of a request to an endpoint. */
   public void startAttempt(PendingRequest request, TrackedEndpoint endpoint) {
     long nowMicros = context.nowMicros();
+    long sendDeadlineMicros = idempotency.sendDeadlineMicros(request);
     double inFlight = limiter.onAttemptStarted(request.weight());
     request.addAttempt(new Attempt(endpoint, nowMicros, inFlight));
     endpoint.onAttemptStarted(request.weight(), nowMicros);
     context.emit(
-        new StartAttempt(request.id(), endpoint.info().id(), request.request().deadlineAtMicros()));
+        new StartAttempt(
+            request.id(),
+            endpoint.info().id(),
+            request.request().deadlineAtMicros(),
+            sendDeadlineMicros));
     context.scheduleAt(
         nowMicros + request.requestClass().config().latencyObjectiveMicros(),
         new PolicyTimer.LatencyObjectiveExceeded(request.id()));
--- a/src/main/java/fawndock/runtime/InFlightAttempt.java
+++ b/src/main/java/fawndock/runtime/InFlightAttempt.java
@@ -19,6 +19,8 @@
 
   private final long startedAtMicros;
   private Timers.Timer deadlineTimer;
+  private Timers.Timer sendDeadlineTimer;
+  private long sendDeadlineMicros;
   private CallResult result;
 
   protected InFlightAttempt(
@@ -35,10 +37,18 @@
    * has completed or {@link #cancelDeadline} was called before.
    *
    * @param deadlineMicros the deadline on the runner's clock
+   * @param sendDeadlineMicros the time until which the request may be sent, on the same clock
    */
-  final void start(long deadlineMicros) {
+  final void start(long deadlineMicros, long sendDeadlineMicros) {
+    this.sendDeadlineMicros = sendDeadlineMicros;
     deadlineTimer =
         runner.timers().schedule(deadlineMicros - startedAtMicros, this::onDeadlineExceeded);
+    if (sendDeadlineMicros < deadlineMicros) {
+      sendDeadlineTimer =
+          runner
+              .timers()
+              .schedule(sendDeadlineMicros - startedAtMicros, this::onSendDeadlineExceeded);
+    }
     send(deadlineMicros);
   }
 
@@ -50,6 +60,18 @@
    */
   protected abstract void send(long deadlineMicros);
 
+  /**
+   * Returns whether the request may still be sent. What the policy decided when it started the
+   * attempt may no longer hold once a connection is available: an implementation must check this
+   * immediately before it sends.
+   */
+  protected final boolean maySend() {
+    return request.isOpen() && runner.clock().nowMicros() < sendDeadlineMicros;
+  }
+
+  /** Completes the attempt unless its request has been sent completely. */
+  protected abstract void onSendDeadlineExceeded();
+
   /** Completes the attempt because its deadline has passed. */
   protected abstract void onDeadlineExceeded();
 
@@ -90,6 +112,7 @@
     }
     result = outcome;
     runner.timers().cancel(deadlineTimer);
+    runner.timers().cancel(sendDeadlineTimer);
     long durationMicros = runner.clock().nowMicros() - startedAtMicros;
     runner.onAttemptCompleted(request, this, durationMicros, load, units);
   }
--- a/src/main/java/fawndock/runtime/PolicyRunner.java
+++ b/src/main/java/fawndock/runtime/PolicyRunner.java
@@ -196,7 +196,7 @@
       attempt.complete(CallResult.NOT_SENT);
       return;
     }
-    attempt.start(deadlineMicros);
+    attempt.start(deadlineMicros, action.sendDeadlineAtMicros());
   }
 
   private void cancelAttempt(CancelAttempt action) {
--- a/src/test/java/fawndock/gateway/BackendAttemptTest.java
+++ b/src/test/java/fawndock/gateway/BackendAttemptTest.java
@@ -5,6 +5,7 @@
 
 import fawndock.policy.action.CancelAttempt;
 import fawndock.policy.action.FailRequest;
+import fawndock.policy.action.PolicyAction;
 import fawndock.policy.action.ScheduleTimer;
 import fawndock.policy.action.StartAttempt;
 import fawndock.policy.event.AttemptCompleted;
@@ -20,6 +21,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
@@ -183,6 +185,38 @@
     }
   }
 
+  /** Guards against a request that is sent although its connection came up too late for it. */
+  @Test
+  void connectionAfterTheSendDeadline_isNotUsed() throws Exception {
+    AtomicInteger sentCount = new AtomicInteger();
+    try (GatewayHarness gateway =
+        new GatewayHarness(
+            request -> {
+              sentCount.incrementAndGet();
+              request.response().end();
+            })) {
+      gateway.policy.respondWith(
+          (nowMicros, event) ->
+              event instanceof RequestArrived arrived
+                  ? startAttemptWithDelay(arrived, nowMicros)
+                  : ScriptedPolicy.forwardOnce(nowMicros, event));
+      assertEquals(504, gateway.get("/lookup").statusCode());
+      assertEquals(CallResult.NOT_SENT, gateway.policy.await(AttemptCompleted.class).result());
+      assertEquals(0, sentCount.get());
+    }
+  }
+
+  /** Returns an attempt whose send deadline has passed when the event loop can connect. */
+  private static List<PolicyAction> startAttemptWithDelay(RequestArrived arrived, long nowMicros) {
+    try {
+      Thread.sleep(100);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+    return List.of(
+        new StartAttempt(arrived.requestId(), "w", arrived.deadlineAtMicros(), nowMicros + 50_000));
+  }
+
   @Test
   void cancel_resetsTheStream() throws Exception {
     CountDownLatch reset = new CountDownLatch(1);
--- a/src/test/java/fawndock/gateway/EndpointWatchTest.java
+++ b/src/test/java/fawndock/gateway/EndpointWatchTest.java
@@ -8,7 +8,14 @@
 import fawndock.policy.event.EndpointState;
 import fawndock.policy.event.EndpointUpdate;
 import fawndock.policy.event.EndpointUpdateKind;
+import fawndock.runtime.Timers;
+import fawndock.settings.Address;
+import fawndock.settings.GatewaySettings.EndpointDiscovery;
+import io.vertx.core.Vertx;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** Tests the parsing of discovery messages and the recovery of the watch. */
@@ -48,13 +55,43 @@
     }
   }
 
+  /** Guards against requests to an endpoint that began to drain while the attempt connected. */
+  @Test
+  void drainingOrRemovedEndpoint_isNotAvailable() throws Exception {
+    Vertx vertx = Vertx.vertx();
+    FakeEndpointFeed feed = new FakeEndpointFeed(vertx, new TraceRecorder());
+    feed.publish(new FakeEndpointFeed.EndpointEntry("w", 1, "", 0, "running", 0));
+    int port = GatewayHarness.await(feed.listen(0));
+    BlockingQueue<Boolean> availability = new LinkedBlockingQueue<>();
+    EndpointWatch[] watch = new EndpointWatch[1];
+    vertx.runOnContext(
+        v -> {
+          watch[0] =
+              new EndpointWatch(
+                  vertx,
+                  new EndpointDiscovery(
+                      new Address("127.0.0.1", port), 20_000_000, false, List.of()),
+                  new Timers(vertx),
+                  update -> availability.add(watch[0].isAvailable("w")));
+          watch[0].start();
+        });
+    assertEquals(true, availability.poll(20, TimeUnit.SECONDS));
+    feed.publish(new FakeEndpointFeed.EndpointEntry("w", 1, "", 0, "stopping", 0));
+    assertEquals(false, availability.poll(20, TimeUnit.SECONDS));
+    feed.publish(new FakeEndpointFeed.EndpointEntry("w", 1, "", 0, "running", 0));
+    assertEquals(true, availability.poll(20, TimeUnit.SECONDS));
+    feed.publish(new FakeEndpointFeed.EndpointEntry("w", 1, "", 0, "deleted", 0));
+    assertEquals(false, availability.poll(20, TimeUnit.SECONDS));
+    GatewayHarness.await(vertx.close());
+  }
+
   /**
    * Guards against missing draining endpoints: a stream that does not start with a snapshot may
    * omit them, so it is reopened.
    */
   @Test
   void streamThatBeginsWithChanges_isReopened() throws Exception {
-    io.vertx.core.Vertx vertx = io.vertx.core.Vertx.vertx();
+    Vertx vertx = Vertx.vertx();
     int[] connectionCount = {0};
     int port =
         GatewayHarness.await(
@@ -86,7 +123,7 @@
    */
   @Test
   void lostOrEmptyList_neverRemovesAllEndpoints() throws Exception {
-    io.vertx.core.Vertx vertx = io.vertx.core.Vertx.vertx();
+    Vertx vertx = Vertx.vertx();
     FakeEndpointFeed discoveryServer = new FakeEndpointFeed(vertx, new TraceRecorder());
     discoveryServer.publish(
         new FakeEndpointFeed.EndpointEntry("a", 1, "", 0, "running", 0),
--- a/src/test/java/fawndock/policy/retry/IdempotencyRulesTest.java
+++ b/src/test/java/fawndock/policy/retry/IdempotencyRulesTest.java
@@ -2,6 +2,7 @@
 
 import static fawndock.policy.PolicyHarness.allOf;
 import static fawndock.policy.PolicyHarness.single;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -60,6 +61,42 @@
     single(RejectRequest.class, lateActions);
   }
 
+  /**
+   * Guards against a retry that waits for its connection until endpoints no longer discard it: the
+   * deadline counts from the first attempt that may have taken effect, less a margin.
+   */
+  @Test
+  void retryOfDeduplicated_mayBeSentUntilItsWindowEnds() {
+    PolicyHarness harness = gateway(Idempotency.DEDUPLICATED, "a", "b", "c");
+    long windowMicros = PolicyHarness.SECOND_MICROS;
+    StartAttempt first = single(StartAttempt.class, harness.request(1));
+    assertEquals(StartAttempt.NO_SEND_DEADLINE, first.sendDeadlineAtMicros());
+    harness.nowMicros += 100_000;
+    long secondStartedAtMicros = harness.nowMicros;
+    StartAttempt second =
+        single(
+            StartAttempt.class,
+            harness.completeAttempt(1, 0, first.endpointId(), CallResult.SHED, false));
+    assertEquals(StartAttempt.NO_SEND_DEADLINE, second.sendDeadlineAtMicros());
+    harness.nowMicros += 100_000;
+    StartAttempt third =
+        single(
+            StartAttempt.class,
+            harness.completeAttempt(1, 1, second.endpointId(), CallResult.ERROR, false));
+    assertEquals(secondStartedAtMicros + windowMicros - 4_000, third.sendDeadlineAtMicros());
+  }
+
+  @Test
+  void retryOfIdempotent_mayBeSentAtAnyTime() {
+    PolicyHarness harness = gateway(Idempotency.IDEMPOTENT, "a", "b");
+    StartAttempt first = single(StartAttempt.class, harness.request(1));
+    StartAttempt second =
+        single(
+            StartAttempt.class,
+            harness.completeAttempt(1, 0, first.endpointId(), CallResult.ERROR, false));
+    assertEquals(StartAttempt.NO_SEND_DEADLINE, second.sendDeadlineAtMicros());
+  }
+
   @Test
   void deduplicatedInZone_isNotSentToAnotherZone() {
     PolicyConfig base =
