--- a/src/main/java/fawndock/gateway/BackendAttempt.java
+++ b/src/main/java/fawndock/gateway/BackendAttempt.java
@@ -76,13 +76,13 @@
             connected -> {
               if (stage == Stage.COMPLETED) {
                 if (connected.succeeded()) {
-                  resetIgnoringResult(connected.result());
+                  discard(connected.result());
                 }
               } else if (connected.failed()) {
                 finish(CallResult.CONNECT_FAILED);
               } else if (!maySend() || !backends.isAvailable(endpointId)) {
                 finish(CallResult.NOT_SENT);
-                resetIgnoringResult(connected.result());
+                discard(connected.result());
               } else {
                 send(connected.result());
               }
@@ -227,8 +227,13 @@
     }
   }
 
-  private static void resetIgnoringResult(HttpClientRequest stream) {
+  /** Resets a stream on which nothing has been sent. */
+  private static void discard(HttpClientRequest stream) {
     stream.exceptionHandler(ignored -> {}); // Without a handler the reset is logged as an error.
+    resetIgnoringResult(stream);
+  }
+
+  private static void resetIgnoringResult(HttpClientRequest stream) {
     var unused = stream.reset(CallResults.CANCEL); // The attempt has already completed.
   }
 
