Quotas of customers have a budget of memory, and none that owes units is evicted

Cause: QuotaTable kept each customer for twelve windows after its last request, without a bound.

Change: the table evicts the least recently used quota once its budget is used (GatewayLimits.maxQuotaBytes, from the memory limit of the process), but none with requests or counter calls in flight or units still to be sent. If all are in use, a request of a new customer is rejected. PendingAdds finds its counters itself, so the table of counters by name is gone. The settings of the two policies of the HTTP gateway come from one factory.

Why it works: all that the policy holds for a customer is in the table, each entry is weighed, and what is evicted is held by the counter service. So memory is bounded and no customer gets past its plan by being forgotten.

--- a/src/main/java/fawndock/fake/FakePlatform.java
+++ b/src/main/java/fawndock/fake/FakePlatform.java
@@ -5,6 +5,8 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -91,6 +93,16 @@
     writeConfiguration(discovery.port(), counter.port());
   }
 
+  /** Makes discovery list this many endpoints, all at the address of the backend. */
+  public void listEndpoints(int count) {
+    List<String> endpoints = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      endpoints.addAll(List.of("w" + i, "127.0.0.1:" + backend.port(), "ready"));
+    }
+    discovery.setSnapshot(
+        FakeDiscoveryServer.endpointListJson(8, true, endpoints.toArray(new String[0])));
+  }
+
   /** Writes a text to the configuration file, whether it is valid or not. */
   public void writeFile(String text) throws IOException {
     Files.writeString(configurationFile, text);
--- a/src/main/java/fawndock/gateway/GatewayVerticle.java
+++ b/src/main/java/fawndock/gateway/GatewayVerticle.java
@@ -3,7 +3,6 @@
 import fawndock.policy.GatewayPolicy;
 import fawndock.policy.action.AddToCounter;
 import fawndock.policy.action.SendPeerMessage;
-import fawndock.policy.config.CounterConfig;
 import fawndock.policy.config.PolicyConfig;
 import fawndock.policy.event.CallResult;
 import fawndock.policy.event.HealthCheckCompleted;
@@ -33,9 +32,6 @@
  */
 public final class GatewayVerticle extends VerticleBase
     implements PolicyRunner.GatewayConnections, BackendAttempt.Backends {
-  /** Network round-trip time that the policy assumes for its deadline margins. */
-  private static final long ROUND_TRIP_MICROS = 5_000;
-
   private static final int HEALTH_CHECK_TIMEOUT_MILLIS = 1_000;
   private static final Logger LOG = LoggerFactory.getLogger(GatewayVerticle.class);
   private final GatewaySettings settings;
@@ -81,7 +77,8 @@
     policyRunner =
         new PolicyRunner(
             clock, timers, this, settings.limits().maxAttempts(), clock.nowMicros(), accessLog);
-    policyRunner.setPolicy(policyFactory.apply(policyConfig()));
+    policyRunner.setPolicy(
+        policyFactory.apply(PolicyConfigFactory.forInstance(settings, instanceIndex)));
     counterClient =
         new CounterClient(vertx, context, settings.counter(), clock, timers, policyRunner::onEvent);
     peerMessenger =
@@ -114,24 +111,6 @@
                     port));
   }
 
-  private PolicyConfig policyConfig() {
-    return new PolicyConfig(
-        instanceIndex,
-        settings.fleetSize(),
-        settings.seed() + instanceIndex,
-        ROUND_TRIP_MICROS,
-        settings.zone(),
-        settings.discovery().watchesOnDemand(),
-        settings.classes(),
-        settings.plans(),
-        settings.limits(),
-        settings.rules(),
-        new CounterConfig(
-            !settings.counter().isAbsent(),
-            settings.counter().timeoutMicros(),
-            settings.counter().settlesUnits()));
-  }
-
   int port() {
     return listener.port();
   }
--- a/src/main/java/fawndock/gateway/QuotaService.java
+++ b/src/main/java/fawndock/gateway/QuotaService.java
@@ -7,7 +7,6 @@
 import fawndock.policy.action.RejectRequest;
 import fawndock.policy.action.ScheduleTimer;
 import fawndock.policy.action.StartAttempt;
-import fawndock.policy.config.CounterConfig;
 import fawndock.policy.config.PolicyConfig;
 import fawndock.policy.event.AttemptCompleted;
 import fawndock.policy.event.CallResult;
@@ -60,7 +59,6 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(QuotaService.class);
   private static final int VIRTUAL_ENDPOINT_COUNT = 64;
-  private static final long ROUND_TRIP_MICROS = 5_000;
 
   /** Units that a refunded request is settled with; the policy treats 0 as units not reported. */
   private static final double REFUNDED_UNITS = 1e-9;
@@ -93,7 +91,10 @@
     instanceCount = settings.fleetSize();
     eventQueue =
         new PolicyEventQueue(
-            policyFactory.apply(policyConfig(settings, instanceIndex)), clock, this::execute, LOG);
+            policyFactory.apply(PolicyConfigFactory.forQuotaService(settings, instanceIndex)),
+            clock,
+            this::execute,
+            LOG);
     counterClient =
         new CounterClient(vertx, context, settings.counter(), clock, timers, this::submit);
     List<Endpoint> virtualEndpoints = new ArrayList<>();
@@ -103,22 +104,6 @@
     submit(new EndpointUpdate(EndpointUpdateKind.SNAPSHOT, virtualEndpoints));
   }
 
-  private static PolicyConfig policyConfig(GatewaySettings settings, int instanceIndex) {
-    return new PolicyConfig(
-        instanceIndex,
-        settings.fleetSize(),
-        settings.seed() + instanceIndex,
-        ROUND_TRIP_MICROS,
-        "",
-        false,
-        settings.classes(),
-        settings.plans(),
-        settings.limits(),
-        settings.rules(),
-        new CounterConfig(
-            !settings.counter().isAbsent(), settings.counter().timeoutMicros(), true));
-  }
-
   /**
    * Requests units of a customer's quota. If the request is allowed, the units are charged, and the
    * caller must end the request with {@link #commit} or {@link #refund}.
--- a/src/main/java/fawndock/platform/PlatformGateway.java
+++ b/src/main/java/fawndock/platform/PlatformGateway.java
@@ -44,6 +44,9 @@
   /** Responses that cannot be written yet may hold the process's memory limit divided by this. */
   private static final long RESPONSE_MEMORY_DIVISOR = 8;
 
+  /** The quotas of customers may hold the process's memory limit divided by this. */
+  private static final long QUOTA_MEMORY_DIVISOR = 24;
+
   /** Time to wait for a list from discovery before listening with the known endpoint list. */
   private static final long FIRST_LIST_TIMEOUT_MICROS = 3_000_000;
 
@@ -88,7 +91,7 @@
     timers = new Timers(vertx);
     runner =
         new PolicyRunner(clock, timers, this, policyConfig.limits().maxAttempts(), 1, activity);
-    runner.setPolicy(policyFactory.apply(policyConfig));
+    runner.setPolicy(policyFactory.apply(withQuotaMemory(policyConfig, config.memoryBytes())));
     pools = new BackendConnectionPools(transport, clock::nowMicros, activity, poolLimits(config));
     directory =
         new EndpointDirectory(
@@ -101,6 +104,11 @@
     closeIdleConnections();
   }
 
+  private static PolicyConfig withQuotaMemory(PolicyConfig policyConfig, long memoryBytes) {
+    return policyConfig.withLimits(
+        policyConfig.limits().withMaxQuotaBytes(memoryBytes / QUOTA_MEMORY_DIVISOR));
+  }
+
   private static BackendConnectionPools.Limits poolLimits(PlatformConfig config) {
     long endpointTimeoutMicros = config.endpointIdleTimeoutMicros();
     return new BackendConnectionPools.Limits(
--- a/src/main/java/fawndock/policy/config/GatewayLimits.java
+++ b/src/main/java/fawndock/policy/config/GatewayLimits.java
@@ -12,6 +12,8 @@
  * @param allowsHealthChecks whether health checks may be sent; not used
  * @param allowsPeerMessages whether messages may be sent to peers; not used
  * @param allowsRetryAfter whether clients are told when to retry; not used
+ * @param maxQuotaBytes memory for the quotas of customers, in bytes; beyond it, those used least
+ *     recently are evicted
  */
 public record GatewayLimits(
     int maxAttempts,
@@ -21,4 +23,44 @@
     boolean allowsCancellation,
     boolean allowsHealthChecks,
     boolean allowsPeerMessages,
-    boolean allowsRetryAfter) {}
+    boolean allowsRetryAfter,
+    long maxQuotaBytes) {
+  /** Memory for quotas where the memory of the process is not known. */
+  public static final long DEFAULT_MAX_QUOTA_BYTES = 16 << 20;
+
+  /** Creates limits with {@link #DEFAULT_MAX_QUOTA_BYTES}. */
+  public GatewayLimits(
+      int maxAttempts,
+      int maxInFlight,
+      long maxRetryAfterMicros,
+      boolean allowsHedging,
+      boolean allowsCancellation,
+      boolean allowsHealthChecks,
+      boolean allowsPeerMessages,
+      boolean allowsRetryAfter) {
+    this(
+        maxAttempts,
+        maxInFlight,
+        maxRetryAfterMicros,
+        allowsHedging,
+        allowsCancellation,
+        allowsHealthChecks,
+        allowsPeerMessages,
+        allowsRetryAfter,
+        DEFAULT_MAX_QUOTA_BYTES);
+  }
+
+  /** Returns the same limits with another memory for quotas, in bytes. */
+  public GatewayLimits withMaxQuotaBytes(long bytes) {
+    return new GatewayLimits(
+        maxAttempts,
+        maxInFlight,
+        maxRetryAfterMicros,
+        allowsHedging,
+        allowsCancellation,
+        allowsHealthChecks,
+        allowsPeerMessages,
+        allowsRetryAfter,
+        bytes);
+  }
+}
--- a/src/main/java/fawndock/policy/config/PolicyConfig.java
+++ b/src/main/java/fawndock/policy/config/PolicyConfig.java
@@ -29,4 +29,20 @@
     List<Plan> plans,
     GatewayLimits limits,
     ServiceRules rules,
-    CounterConfig counter) {}
+    CounterConfig counter) {
+  /** Returns the same configuration with other limits. */
+  public PolicyConfig withLimits(GatewayLimits newLimits) {
+    return new PolicyConfig(
+        instanceIndex,
+        instanceCount,
+        randomSeed,
+        roundTripMicros,
+        zone,
+        mustWatchEndpoints,
+        requestClasses,
+        plans,
+        newLimits,
+        rules,
+        counter);
+  }
+}
--- a/src/main/java/fawndock/policy/quota/CounterCalls.java
+++ b/src/main/java/fawndock/policy/quota/CounterCalls.java
@@ -42,6 +42,7 @@
     CounterCall call =
         new CounterCall(counter, units + counter.takePendingUnits(), units, isRestore);
     inFlightByCounter.computeIfAbsent(counter.name(), name -> new ArrayDeque<>(2)).add(call);
+    counter.onCallSent();
     long windowMicros = counter.quota().windowMicros();
     context.emit(
         new AddToCounter(counter.name(), call.addedUnits(), TIME_TO_LIVE_WINDOWS * windowMicros));
@@ -54,7 +55,11 @@
   CounterCall complete(String counterName) {
     ArrayDeque<CounterCall> calls = inFlightByCounter.get(counterName);
     CounterCall call = calls == null ? null : calls.poll();
-    if (call != null && calls.isEmpty()) {
+    if (call == null) {
+      return null;
+    }
+    call.counter().onCallCompleted();
+    if (calls.isEmpty()) {
       inFlightByCounter.remove(counterName);
     }
     return call;
--- a/src/main/java/fawndock/policy/quota/PendingAdds.java
+++ b/src/main/java/fawndock/policy/quota/PendingAdds.java
@@ -3,6 +3,8 @@
 import fawndock.policy.EventContext;
 import fawndock.policy.action.ScheduleTimer;
 import fawndock.policy.event.PolicyTimer;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.SplittableRandom;
 
 /**
@@ -21,19 +23,16 @@
 
   private final EventContext context;
   private final SplittableRandom random;
-  private final QuotaTable quotas;
   private final CounterCalls calls;
   private final CounterThrottle throttle;
 
+  /** The counters whose pending units have a scheduled flush, by name. */
+  private final Map<String, WindowCounter> scheduledFlushes = new HashMap<>();
+
   PendingAdds(
-      EventContext context,
-      SplittableRandom random,
-      QuotaTable quotas,
-      CounterCalls calls,
-      CounterThrottle throttle) {
+      EventContext context, SplittableRandom random, CounterCalls calls, CounterThrottle throttle) {
     this.context = context;
     this.random = random;
-    this.quotas = quotas;
     this.calls = calls;
     this.throttle = throttle;
   }
@@ -53,6 +52,7 @@
       return;
     }
     counter.setFlushScheduled(true);
+    scheduledFlushes.put(counter.name(), counter);
     double delayWindows =
         (isThrottled ? THROTTLED_FLUSH_DELAY_WINDOWS : FLUSH_DELAY_WINDOWS)
             * (1 + random.nextDouble());
@@ -65,7 +65,7 @@
    * allowed now, they wait for another delay.
    */
   void flush(String counterName) {
-    WindowCounter counter = quotas.counter(counterName);
+    WindowCounter counter = scheduledFlushes.remove(counterName);
     if (counter == null) {
       return;
     }
--- a/src/main/java/fawndock/policy/quota/QuotaAdmission.java
+++ b/src/main/java/fawndock/policy/quota/QuotaAdmission.java
@@ -30,6 +30,7 @@
   private final PreviousWindowEstimate previousWindowEstimate;
   private final OverQuotaRule overQuotaRule;
   private final QuotaCharging charging;
+  private final RequestCounterCalls requestCalls;
 
   /** Creates the quota rules, which draw from the random source shared by the whole policy. */
   public QuotaAdmission(
@@ -42,26 +43,32 @@
     this.deadlines = deadlines;
     this.settlesUnits = config.counter().settlesUnits();
     this.kinds = config.counter().isPresent() ? KINDS : NO_KINDS;
-    this.quotas = new QuotaTable(context, maxLatencyObjectiveMicros);
+    this.quotas =
+        new QuotaTable(context, maxLatencyObjectiveMicros, config.limits().maxQuotaBytes());
     this.calls = new CounterCalls(context);
     this.throttle = new CounterThrottle(context, random, calls, config);
-    this.pendingAdds = new PendingAdds(context, random, quotas, calls, throttle);
+    this.pendingAdds = new PendingAdds(context, random, calls, throttle);
     this.risk = new OverQuotaRisk(context);
     this.provenOverQuota = new ProvenOverQuota(context);
     this.previousWindowEstimate = new PreviousWindowEstimate(context, throttle);
     this.overQuotaRule = new OverQuotaRule(context, throttle, risk, previousWindowEstimate);
     this.charging = new QuotaCharging(throttle, risk, provenOverQuota, calls, pendingAdds);
+    this.requestCalls = new RequestCounterCalls(throttle, calls, charging);
   }
 
   /**
    * Charges a new request to its quotas and calls the counter unless throttling skips the call.
-   * Returns the decision, or an undecided one if the request waits for the counter.
+   * Returns the decision, or an undecided one if the request waits for the counter. A request is
+   * rejected if its quota is new and there is no memory for it.
    */
   public QuotaDecision startCheck(PendingRequest request) {
     for (QuotaKind kind : kinds) {
+      if (!kind.isSetBy(request.plan())) {
+        continue;
+      }
       SlidingWindowQuota quota = quotas.findOrCreate(request, kind);
       if (quota == null) {
-        continue;
+        return QuotaDecision.rejected(RetryAfter.UNTIL_MEMORY_IS_FREE_MICROS);
       }
       QuotaCharge charge = recordDemandAndCharge(request, quota);
       request.putCharge(kind, charge);
@@ -71,7 +78,7 @@
         return QuotaDecision.rejected(RetryAfter.untilQuotaMicros(charge, context.nowMicros()));
       }
     }
-    callCounters(request);
+    requestCalls.callCounters(request);
     if (request.pendingCounterCalls() == 0 || throttle.isCounterUnreachable()) {
       return decide(request);
     }
@@ -94,39 +101,6 @@
     return new QuotaCharge(request, quota, units, demandLevel);
   }
 
-  private void callCounters(PendingRequest request) {
-    boolean hasCeiling = request.charge(QuotaKind.CEILING) != null;
-    double samplingRate = hasCeiling ? 1 : throttle.samplingRate();
-    double callProbability = throttle.callProbability(samplingRate);
-    if (!throttle.shouldCall(samplingRate)) {
-      return;
-    }
-    throttle.recordCall();
-    for (QuotaCharge charge : request.charges()) {
-      charge.setCountedUnits(charging.unitsToAdd(charge, callProbability));
-      waitFor(calls.send(charge.counter(), charge.countedUnits()), request);
-      if (charge.quota().kind() == QuotaKind.CEILING) {
-        readPreviousWindow(charge);
-      }
-    }
-  }
-
-  private void readPreviousWindow(QuotaCharge charge) {
-    WindowCounter previousCounter = charge.quota().previousCounter();
-    if (previousCounter.isReadAfterClose()) {
-      return;
-    }
-    if (previousCounter.closingReadInFlight() == null) {
-      previousCounter.setClosingReadInFlight(calls.send(previousCounter, 0));
-    }
-    waitFor(previousCounter.closingReadInFlight(), charge.request());
-  }
-
-  private static void waitFor(CounterCall call, PendingRequest request) {
-    call.waitingRequests().add(request);
-    request.onCounterCallStarted();
-  }
-
   /** Handles the end of a counter call; returns the call, or null if none was in flight. */
   public CounterCall onCounterReply(CounterReply reply) {
     CounterCall call = calls.complete(reply.counterName());
@@ -176,7 +150,7 @@
     if (rateCharge != null
         && !throttle.isThrottledOrRecovering()
         && previousWindowEstimate.couldChangeDecision(rateCharge)) {
-      readPreviousWindow(rateCharge);
+      requestCalls.readPreviousWindow(rateCharge);
     }
     return request.pendingCounterCalls() == 0 ? decide(request) : QuotaDecision.UNDECIDED;
   }
@@ -231,7 +205,7 @@
     charging.recordForwarded(request);
   }
 
-  /** Withdraws what was added for a request, unless the request was forwarded. */
+  /** Ends the charges of a request; withdraws what was added for it unless it was forwarded. */
   public void release(PendingRequest request) {
     charging.release(request);
   }
--- a/src/main/java/fawndock/policy/quota/QuotaCharge.java
+++ b/src/main/java/fawndock/policy/quota/QuotaCharge.java
@@ -11,6 +11,7 @@
   private final int demandLevel;
   private double totalBeforeUnits = Double.NaN;
   private double countedUnits;
+  private boolean hasEnded;
 
   QuotaCharge(PendingRequest request, SlidingWindowQuota quota, double units, int demandLevel) {
     this.request = request;
@@ -18,6 +19,15 @@
     this.counter = quota.currentCounter();
     this.units = units;
     this.demandLevel = demandLevel;
+    quota.onChargeStarted();
+  }
+
+  /** Ends the charge together with its request. Idempotent. */
+  void end() {
+    if (!hasEnded) {
+      hasEnded = true;
+      quota.onChargeEnded();
+    }
   }
 
   PendingRequest request() {
--- a/src/main/java/fawndock/policy/quota/QuotaCharging.java
+++ b/src/main/java/fawndock/policy/quota/QuotaCharging.java
@@ -71,17 +71,19 @@
     }
   }
 
-  /** Withdraws what was added for a request, unless the request was forwarded. */
+  /**
+   * Ends the charges of a request, and withdraws what was added for it unless it was forwarded.
+   * Idempotent.
+   */
   void release(PendingRequest request) {
-    if (!request.attempts().isEmpty()) {
-      return;
-    }
+    boolean isForwarded = !request.attempts().isEmpty();
     for (QuotaCharge charge : request.charges()) {
-      if (charge.countedUnits() > 0) {
+      if (!isForwarded && charge.countedUnits() > 0) {
         charge.counter().reduceTotal(charge.countedUnits());
         pendingAdds.add(charge.counter(), -charge.countedUnits());
         charge.setCountedUnits(0);
       }
+      charge.end();
     }
   }
 
--- a/src/main/java/fawndock/policy/quota/QuotaTable.java
+++ b/src/main/java/fawndock/policy/quota/QuotaTable.java
@@ -8,9 +8,11 @@
 import java.util.Map;
 
 /**
- * The quotas of recently active customers, and their counters by name. Customers are evicted after
- * so long without a request that their history has little weight. This may discard the risk
- * estimate of a customer that sends rare bursts.
+ * The quotas of recently active customers, in bounded memory. A quota is evicted after so long
+ * without a request that its history has little weight, and earlier if the memory is needed: the
+ * least recently used one first, but none that still owes units to its counter (see {@link
+ * SlidingWindowQuota#isInUse}). An evicted customer is counted on, since the totals are held by the
+ * counter service; what is lost is this instance's estimate of its demand and risk.
  */
 final class QuotaTable {
   /** The longest window; its counters live for two windows, 60 s. */
@@ -19,41 +21,45 @@
   private static final long EVICT_AFTER_WINDOWS = 12;
   private static final int MAX_EVICTIONS_PER_LOOKUP = 2;
 
+  /** Quotas examined in one search for memory, so that a full table costs a request little time. */
+  private static final int MAX_EXAMINED_QUOTAS = 64;
+
   private final EventContext context;
   private final long concurrencyWindowMicros;
+  private final long maxBytes;
 
   /** Ordered by last use, least recently used first. */
   private final Map<String, SlidingWindowQuota> quotasByPrefix =
       new LinkedHashMap<>(64, 0.75f, true);
 
-  private final Map<String, WindowCounter> countersByName = new LinkedHashMap<>();
+  private long usedBytes;
 
   /**
    * Creates an empty table; the window of concurrency limits is the longest latency objective, at
    * most {@link #MAX_WINDOW_MICROS}.
    */
-  QuotaTable(EventContext context, long maxLatencyObjectiveMicros) {
+  QuotaTable(EventContext context, long maxLatencyObjectiveMicros, long maxBytes) {
     this.context = context;
     this.concurrencyWindowMicros = Math.min(MAX_WINDOW_MICROS, maxLatencyObjectiveMicros);
-  }
-
-  /** Returns the counter of this name, or null if it was evicted. */
-  WindowCounter counter(String name) {
-    return countersByName.get(name);
+    this.maxBytes = maxBytes;
   }
 
   /**
-   * Returns the quota of a request's customer in its current window, or null if the plan sets none.
+   * Returns the quota of a request's customer in its current window, or null if it is new and there
+   * is no memory for it. The plan must set a quota of this kind.
    */
   SlidingWindowQuota findOrCreate(PendingRequest request, QuotaKind kind) {
-    Plan plan = request.plan();
-    if (!kind.isSetBy(plan)) {
-      return null;
-    }
     String prefix = kind.counterNamePrefix(request.request().customer());
     evictUnused();
-    SlidingWindowQuota quota =
-        quotasByPrefix.computeIfAbsent(prefix, name -> create(kind, name, plan));
+    SlidingWindowQuota quota = quotasByPrefix.get(prefix);
+    if (quota == null) {
+      quota = create(kind, prefix, request.plan());
+      if (!makeRoom(quota.sizeBytes())) {
+        return null;
+      }
+      quotasByPrefix.put(prefix, quota);
+      usedBytes += quota.sizeBytes();
+    }
     startWindowIfNeeded(quota);
     return quota;
   }
@@ -77,18 +83,9 @@
 
   private void startWindowIfNeeded(SlidingWindowQuota quota) {
     long windowIndex = context.nowMicros() / quota.windowMicros();
-    if (quota.isCurrentWindow(windowIndex)) {
-      return;
-    }
-    if (quota.previousCounter() != null) {
-      countersByName.remove(quota.previousCounter().name());
-    }
-    if (quota.currentCounter() != null && !quota.isCurrentWindow(windowIndex - 1)) {
-      countersByName.remove(quota.currentCounter().name());
+    if (!quota.isCurrentWindow(windowIndex)) {
+      quota.startWindow(windowIndex, context.nowMicros());
     }
-    quota.startWindow(windowIndex, context.nowMicros());
-    countersByName.put(quota.previousCounter().name(), quota.previousCounter());
-    countersByName.put(quota.currentCounter().name(), quota.currentCounter());
   }
 
   private void evictUnused() {
@@ -100,8 +97,29 @@
         return;
       }
       leastRecentlyUsed.remove();
-      countersByName.remove(quota.currentCounter().name());
-      countersByName.remove(quota.previousCounter().name());
+      usedBytes -= quota.sizeBytes();
     }
   }
+
+  /**
+   * Evicts quotas until a new one of this size fits; returns whether it does. A quota that is in
+   * use moves to the end of the order instead (second chance), so that the next search finds
+   * others.
+   */
+  private boolean makeRoom(long bytes) {
+    for (int i = 0; i < MAX_EXAMINED_QUOTAS && mustEvict(bytes); i++) {
+      SlidingWindowQuota quota = quotasByPrefix.values().iterator().next();
+      if (quota.isInUse(context.nowMicros())) {
+        quotasByPrefix.get(quota.counterNamePrefix()); // An access moves it to the end.
+      } else {
+        quotasByPrefix.remove(quota.counterNamePrefix());
+        usedBytes -= quota.sizeBytes();
+      }
+    }
+    return usedBytes + bytes <= maxBytes;
+  }
+
+  private boolean mustEvict(long bytes) {
+    return usedBytes + bytes > maxBytes && !quotasByPrefix.isEmpty();
+  }
 }
--- a/src/main/java/fawndock/policy/quota/RetryAfter.java
+++ b/src/main/java/fawndock/policy/quota/RetryAfter.java
@@ -4,6 +4,9 @@
 public final class RetryAfter {
   private static final long SECOND_MICROS = 1_000_000;
 
+  /** Time until a rejected request of a new customer may find memory for its quotas. */
+  static final long UNTIL_MEMORY_IS_FREE_MICROS = SECOND_MICROS;
+
   private RetryAfter() {}
 
   /**
--- a/src/main/java/fawndock/policy/quota/SlidingWindowQuota.java
+++ b/src/main/java/fawndock/policy/quota/SlidingWindowQuota.java
@@ -5,6 +5,15 @@
  * is weighted by the part of its window that a full window ending now still covers.
  */
 public final class SlidingWindowQuota {
+  /** Memory of a quota with its two counters and its table entry, without the names. */
+  private static final int OBJECT_BYTES = 416;
+
+  /** Memory of a string without its characters. */
+  private static final int STRING_BYTES = 40;
+
+  /** The names of the two counters, and their common prefix. */
+  private static final int NAME_COUNT = 3;
+
   private final QuotaKind kind;
   private final String counterNamePrefix;
   private final long windowMicros;
@@ -15,6 +24,7 @@
   private final LocalTokenBucket localTokenBucket;
   private WindowCounter currentCounter;
   private WindowCounter previousCounter;
+  private int activeCharges;
 
   SlidingWindowQuota(
       QuotaKind kind, String counterNamePrefix, long windowMicros, double limitUnits) {
@@ -29,6 +39,29 @@
         kind == QuotaKind.CEILING ? new LocalTokenBucket(limitUnits, windowMicros) : null;
   }
 
+  /** Returns the approximate memory of the quota, in bytes. */
+  long sizeBytes() {
+    return OBJECT_BYTES + (long) NAME_COUNT * (STRING_BYTES + counterNamePrefix.length());
+  }
+
+  void onChargeStarted() {
+    activeCharges++;
+  }
+
+  void onChargeEnded() {
+    activeCharges--;
+  }
+
+  /**
+   * Returns whether requests in flight are charged to the quota, or units may still have to be sent
+   * to its counters. Discarding such a quota would lose units that it owes to the counter.
+   */
+  boolean isInUse(long nowMicros) {
+    return activeCharges > 0
+        || currentCounter.isInUse(nowMicros)
+        || previousCounter.isInUse(nowMicros);
+  }
+
   QuotaKind kind() {
     return kind;
   }
--- a/src/main/java/fawndock/policy/quota/WindowCounter.java
+++ b/src/main/java/fawndock/policy/quota/WindowCounter.java
@@ -6,20 +6,20 @@
   private static final double MIN_LOST_UNITS = 0.5;
 
   private final SlidingWindowQuota quota;
-  private final String name;
   private final long windowIndex;
   private double totalUnits;
   private boolean isTotalKnown;
   private double confirmedUnits;
   private double pendingUnits;
   private double forwardedUnits;
+  private String name;
+  private int callsInFlight;
   private boolean isFlushScheduled;
   private boolean isReadAfterClose;
   private CounterCall closingReadInFlight;
 
   WindowCounter(SlidingWindowQuota quota, long windowIndex) {
     this.quota = quota;
-    this.name = quota.counterNamePrefix() + Long.toString(windowIndex, Character.MAX_RADIX);
     this.windowIndex = windowIndex;
   }
 
@@ -27,7 +27,11 @@
     return quota;
   }
 
+  /** Returns the counter's name. It is created on demand, since most counters are never called. */
   String name() {
+    if (name == null) {
+      name = quota.counterNamePrefix() + Long.toString(windowIndex, Character.MAX_RADIX);
+    }
     return name;
   }
 
@@ -97,6 +101,23 @@
     return units;
   }
 
+  void onCallSent() {
+    callsInFlight++;
+  }
+
+  void onCallCompleted() {
+    callsInFlight--;
+  }
+
+  /**
+   * Returns whether this instance still has to send units to the counter, or may have to: a call in
+   * flight can fail.
+   */
+  boolean isInUse(long nowMicros) {
+    boolean hasPendingUnits = pendingUnits != 0 && !isExpired(nowMicros);
+    return hasPendingUnits || isFlushScheduled || callsInFlight > 0;
+  }
+
   boolean isFlushScheduled() {
     return isFlushScheduled;
   }
--- a/src/test/java/fawndock/platform/GatewayProcess.java
+++ b/src/test/java/fawndock/platform/GatewayProcess.java
@@ -1,6 +1,7 @@
 package fawndock.platform;
 
 import fawndock.fake.FakePlatform;
+import fawndock.fake.RespClient;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -30,4 +31,28 @@
     builder.environment().putAll(platform.environment());
     return builder.start();
   }
+
+  /** Starts a gateway that ends when its heap is full, with the other limits of a deployment. */
+  static Process startWithHeap(FakePlatform platform, int heapMegabytes) throws IOException {
+    return start(
+        platform,
+        List.of(),
+        "-XX:+UseSerialGC",
+        "-Xmx" + heapMegabytes + "m",
+        "-XX:MaxDirectMemorySize=8m",
+        "-XX:+ExitOnOutOfMemoryError");
+  }
+
+  /** Waits until the platform's gateway replies to clients. */
+  static void awaitListening(FakePlatform platform) throws Exception {
+    Await.until(() -> isListening(platform));
+  }
+
+  private static boolean isListening(FakePlatform platform) {
+    try (RespClient client = new RespClient(platform.port())) {
+      return "+PONG".equals(client.call("PING"));
+    } catch (IOException e) {
+      return false; // The gateway does not listen yet.
+    }
+  }
 }
--- a/src/test/java/fawndock/platform/PipelinedResponsesTest.java
+++ b/src/test/java/fawndock/platform/PipelinedResponsesTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import fawndock.fake.FakeDiscoveryServer;
 import fawndock.fake.FakePlatform;
 import fawndock.fake.FakeRespServer;
 import fawndock.fake.RespClient;
@@ -41,25 +40,6 @@
 
   private final AtomicLong nextId = new AtomicLong(1);
 
-  private static Process startGateway(FakePlatform platform, int heapMegabytes) throws IOException {
-    return GatewayProcess.start(
-        platform,
-        List.of(),
-        "-XX:+UseSerialGC",
-        "-Xmx" + heapMegabytes + "m",
-        "-XX:MaxDirectMemorySize=8m",
-        "-XX:+ExitOnOutOfMemoryError");
-  }
-
-  private static void listEndpoints(FakePlatform platform) {
-    List<String> endpoints = new ArrayList<>();
-    for (int i = 0; i < ENDPOINTS; i++) {
-      endpoints.addAll(List.of("w" + i, "127.0.0.1:" + platform.backend.port(), "ready"));
-    }
-    platform.discovery.setSnapshot(
-        FakeDiscoveryServer.endpointListJson(8, true, endpoints.toArray(new String[0])));
-  }
-
   private static void respond(List<String> command, FakeRespServer.Connection connection)
       throws IOException, InterruptedException {
     String value = expectedPrefix(command.get(2));
@@ -143,23 +123,15 @@
     }
   }
 
-  private static boolean isListening(FakePlatform platform) {
-    try (RespClient client = new RespClient(platform.port())) {
-      return "+PONG".equals(client.call("PING"));
-    } catch (IOException e) {
-      return false; // The gateway does not listen yet.
-    }
-  }
-
   private int playInProcess(int memoryMegabytes, int heapMegabytes, int clientCount)
       throws Exception {
     try (FakePlatform platform =
         new FakePlatform(PipelinedResponsesTest::respond, FakeRespServer.counterHandler())) {
       platform.limitMemory(memoryMegabytes);
-      listEndpoints(platform);
-      Process process = startGateway(platform, heapMegabytes);
+      platform.listEndpoints(ENDPOINTS);
+      Process process = GatewayProcess.startWithHeap(platform, heapMegabytes);
       try {
-        Await.until(() -> isListening(platform));
+        GatewayProcess.awaitListening(platform);
         int servedCount = sendPipelinedFromClients(platform, clientCount);
         assertTrue(process.isAlive(), "the gateway ended");
         process.destroy();
