Timers of requests that have ended are cancelled, and cancelled timers are forgotten

Under fast traffic of clients with long waits the process ends (out of memory), however soon they are answered.

Cause: the policy's timers of a request were never cancelled; each stayed, with its event, until the end of the client's wait (600 s at most), and a cancelled timer stayed in its slot of the wheel as long. Memory grew with all requests of that time. Evidence: live heap at 32 MB after 5 s of 400 clients with 60 commands at once: 680 requests in flight, 148,775 timers, 74,369 answer deadlines.

Change: a policy timer that belongs to a request says so; the runner cancels these once the request has ended and has no attempt in flight, when the policy has forgotten it too and none of them could have an effect. Timers are in doubly linked lists and leave them when they are cancelled. An exception in a timer no longer loses the others of its millisecond.

--- a/src/main/java/fawndock/policy/event/PolicyTimer.java
+++ b/src/main/java/fawndock/policy/event/PolicyTimer.java
@@ -5,17 +5,23 @@
  * unchanged when it is due.
  */
 public sealed interface PolicyTimer {
+  /** A timer that has no effect once its request has ended and has no attempt in flight. */
+  sealed interface RequestTimer extends PolicyTimer {
+    /** Returns the id of the request. */
+    long requestId();
+  }
+
   /** The final response of the request is due now, shortly before its client's deadline. */
-  record AnswerDeadline(long requestId) implements PolicyTimer {}
+  record AnswerDeadline(long requestId) implements RequestTimer {}
 
   /** The request has waited for an endpoint for the maximum time. */
-  record QueueTimeout(long requestId) implements PolicyTimer {}
+  record QueueTimeout(long requestId) implements RequestTimer {}
 
   /** An attempt of the request has been in flight for the latency objective of its class. */
-  record LatencyObjectiveExceeded(long requestId) implements PolicyTimer {}
+  record LatencyObjectiveExceeded(long requestId) implements RequestTimer {}
 
   /** The request has waited for the counter for the maximum time. */
-  record CounterWaitTimeout(long requestId) implements PolicyTimer {}
+  record CounterWaitTimeout(long requestId) implements RequestTimer {}
 
   /** Additions that are still pending for this counter are due to be sent. */
   record FlushPendingAdds(String counterName) implements PolicyTimer {}
--- a/src/main/java/fawndock/runtime/InFlightRequest.java
+++ b/src/main/java/fawndock/runtime/InFlightRequest.java
@@ -37,6 +37,9 @@
   /** Fires at the client's deadline. */
   Timers.Timer deadlineTimer;
 
+  /** The policy's timers for the request. */
+  final List<Timers.Timer> policyTimers = new ArrayList<>(4);
+
   private Stage stage = Stage.OPEN;
   private boolean wasStreamed;
 
--- a/src/main/java/fawndock/runtime/PolicyRunner.java
+++ b/src/main/java/fawndock/runtime/PolicyRunner.java
@@ -21,6 +21,7 @@
 import fawndock.policy.event.LoadReport;
 import fawndock.policy.event.PolicyEvent;
 import fawndock.policy.event.PolicyTimer;
+import fawndock.policy.event.PolicyTimer.RequestTimer;
 import fawndock.policy.event.RequestArrived;
 import fawndock.policy.event.ResponseStarted;
 import fawndock.policy.event.TimerFired;
@@ -160,8 +161,7 @@
     } else if (action instanceof AddToCounter a) {
       connections.addToCounter(a);
     } else if (action instanceof ScheduleTimer a) {
-      PolicyTimer timer = a.timer();
-      timers.schedule(a.delayMicros(), () -> onEvent(new TimerFired(timer)));
+      scheduleTimer(a);
     } else if (action instanceof CancelAttempt a) {
       cancelAttempt(a);
     } else if (action instanceof StartHealthCheck a) {
@@ -177,6 +177,19 @@
     }
   }
 
+  private void scheduleTimer(ScheduleTimer action) {
+    PolicyTimer policyTimer = action.timer();
+    Timers.Timer timer =
+        timers.schedule(action.delayMicros(), () -> onEvent(new TimerFired(policyTimer)));
+    InFlightRequest request =
+        policyTimer instanceof RequestTimer requestTimer
+            ? inFlightRequests.get(requestTimer.requestId())
+            : null;
+    if (request != null) {
+      request.policyTimers.add(timer);
+    }
+  }
+
   private void startAttempt(StartAttempt action) {
     InFlightRequest request = inFlightRequests.get(action.requestId());
     if (request == null) {
@@ -316,11 +329,15 @@
     recorder.onResponse(request, clock.nowMicros(), outcome, reason);
   }
 
-  /** Removes a request that has completed and has no attempt in flight. */
+  /**
+   * Removes a request that has completed and has no attempt in flight, with the policy's timers for
+   * it.
+   */
   private void removeIfFinished(InFlightRequest request) {
     if (!request.isCompleted() || request.activeAttemptCount > 0) {
       return;
     }
+    request.policyTimers.forEach(timers::cancel);
     boolean isRemoved = inFlightRequests.remove(request.id) != null;
     if (isRemoved && inFlightRequests.isEmpty() && idleListener != null) {
       idleListener.run();
--- a/src/main/java/fawndock/runtime/Timers.java
+++ b/src/main/java/fawndock/runtime/Timers.java
@@ -1,7 +1,6 @@
 package fawndock.runtime;
 
 import io.vertx.core.Vertx;
-import java.util.Arrays;
 
 /**
  * The timers of one event loop: a hashed timing wheel (Varghese and Lauck, 1987) with one slot for
@@ -24,6 +23,11 @@
   public static final class Timer {
     private final long dueTick;
     private Runnable task;
+
+    /** The slot that holds the timer; null once it has fired or been cancelled. */
+    private Slot slot;
+
+    private Timer previous;
     private Timer next;
 
     private Timer(long dueTick, Runnable task) {
@@ -32,10 +36,45 @@
     }
   }
 
+  /** A doubly linked list of timers, in the order in which they were added. */
+  private static final class Slot {
+    private Timer head;
+    private Timer tail;
+    private int size;
+
+    void add(Timer timer) {
+      timer.slot = this;
+      timer.previous = tail;
+      if (tail == null) {
+        head = timer;
+      } else {
+        tail.next = timer;
+      }
+      tail = timer;
+      size++;
+    }
+
+    void remove(Timer timer) {
+      if (timer.previous == null) {
+        head = timer.next;
+      } else {
+        timer.previous.next = timer.next;
+      }
+      if (timer.next == null) {
+        tail = timer.previous;
+      } else {
+        timer.next.previous = timer.previous;
+      }
+      timer.slot = null;
+      timer.previous = null;
+      timer.next = null;
+      size--;
+    }
+  }
+
   private final Vertx vertx;
   private final long originNanos = System.nanoTime();
-  private final Timer[] heads = new Timer[SLOT_COUNT];
-  private final Timer[] tails = new Timer[SLOT_COUNT];
+  private final Slot[] slots = new Slot[SLOT_COUNT];
 
   /** All timers due at this tick or earlier have fired. */
   private long lastFiredTick;
@@ -56,6 +95,9 @@
   /** Creates the timers of the event loop that runs the caller. */
   public Timers(Vertx vertx) {
     this.vertx = vertx;
+    for (int i = 0; i < SLOT_COUNT; i++) {
+      slots[i] = new Slot();
+    }
   }
 
   /**
@@ -66,7 +108,7 @@
     long dueNanos = elapsedNanos() + Math.max(0, delayMicros) * 1_000;
     long dueTick = (dueNanos + TICK_NANOS - 1) / TICK_NANOS;
     Timer timer = new Timer(Math.max(dueTick, lastFiredTick + 1), task);
-    append(timer);
+    slots[slotIndex(timer.dueTick)].add(timer);
     pendingCount++;
     if (!isFiring && (wakeUpTimerId < 0 || timer.dueTick < wakeUpTick)) {
       scheduleWakeUp(timer.dueTick);
@@ -74,12 +116,10 @@
     return timer;
   }
 
-  /**
-   * Cancels a timer; does nothing for null or a timer that has fired. A cancelled timer stays in
-   * its slot until it is due but no longer references its task.
-   */
+  /** Cancels a timer and forgets it; does nothing for null or a timer that has fired. */
   public void cancel(Timer timer) {
-    if (timer != null && timer.task != null) {
+    if (timer != null && timer.slot != null) {
+      timer.slot.remove(timer);
       timer.task = null;
       pendingCount--;
     }
@@ -93,8 +133,11 @@
   /** Discards all timers without firing them. Idempotent. */
   @Override
   public void close() {
-    Arrays.fill(heads, null);
-    Arrays.fill(tails, null);
+    for (Slot slot : slots) {
+      while (slot.head != null) {
+        slot.remove(slot.head);
+      }
+    }
     pendingCount = 0;
     cancelWakeUp();
   }
@@ -103,17 +146,7 @@
     return System.nanoTime() - originNanos;
   }
 
-  private void append(Timer timer) {
-    int slot = slot(timer.dueTick);
-    if (heads[slot] == null) {
-      heads[slot] = timer;
-    } else {
-      tails[slot].next = timer;
-    }
-    tails[slot] = timer;
-  }
-
-  private static int slot(long tick) {
+  private static int slotIndex(long tick) {
     return (int) (tick % SLOT_COUNT);
   }
 
@@ -147,7 +180,7 @@
       lastFiredTick = nowTick;
       // At most one revolution of the wheel: after a longer delay, each slot is due once.
       for (long tick = firstTick; tick <= nowTick && tick < firstTick + SLOT_COUNT; tick++) {
-        fireSlot(slot(tick), nowTick);
+        fireSlot(slots[slotIndex(tick)], nowTick);
       }
     } finally {
       isFiring = false;
@@ -168,37 +201,30 @@
 
   private long nextTickInUse() {
     long tick = lastFiredTick + 1;
-    while (!hasPendingTimer(slot(tick)) && tick < lastFiredTick + SLOT_COUNT) {
+    while (slots[slotIndex(tick)].size == 0 && tick < lastFiredTick + SLOT_COUNT) {
       tick++;
     }
     return tick;
   }
 
-  /** Returns whether a slot holds a pending timer; removes cancelled timers at its head. */
-  private boolean hasPendingTimer(int slot) {
-    while (heads[slot] != null && heads[slot].task == null) {
-      heads[slot] = heads[slot].next;
+  /** Fires the due timers of a slot. A timer that fires may cancel others and add new ones. */
+  private void fireSlot(Slot slot, long nowTick) {
+    int timersToExamine = slot.size;
+    for (int i = 0; i < timersToExamine && slot.head != null; i++) {
+      Timer timer = slot.head;
+      slot.remove(timer);
+      if (timer.dueTick > nowTick) {
+        slot.add(timer); // Due in a later revolution of the wheel.
+      } else {
+        fire(timer);
+      }
     }
-    return heads[slot] != null;
   }
 
-  private void fireSlot(int slot, long nowTick) {
-    Timer timer = heads[slot];
-    heads[slot] = null;
-    tails[slot] = null;
-    while (timer != null) {
-      Timer next = timer.next;
-      timer.next = null;
-      boolean isCancelled = timer.task == null;
-      if (!isCancelled && timer.dueTick > nowTick) {
-        append(timer); // Due in a later revolution of the wheel.
-      } else if (!isCancelled) {
-        Runnable task = timer.task;
-        timer.task = null;
-        pendingCount--;
-        task.run();
-      }
-      timer = next;
-    }
+  private void fire(Timer timer) {
+    Runnable task = timer.task;
+    timer.task = null;
+    pendingCount--;
+    task.run();
   }
 }
