Counter calls that have timed out count against the limit until their replies come

The process ends (out of memory).

Cause: CounterClient bounded the calls whose time was not over. One that has timed out stays in its connection's queue until its reply comes and was no longer counted, and replies that come slowly keep the connection open. Evidence: live heap at 32 MB after 25 s: 10,171 calls held, 46 of them in flight for the policy; 23,367 after 60 s at 2,000 requests a second.

Change: the limit of 4,096 counts all calls to the current address without a reply. Connections to an earlier address are closed once none of their calls waits.

Measured: CounterClientTest with the limit as it was counted before: "6000 calls wait for a reply"; passes now.

--- a/src/main/java/fawndock/platform/CounterClient.java
+++ b/src/main/java/fawndock/platform/CounterClient.java
@@ -25,7 +25,9 @@
    */
   private static final int CONNECTION_COUNT = 4;
 
-  private static final int MAX_PENDING_CALLS = 4_096;
+  /** Limit on the calls without a reply, which hold memory also after they have timed out. */
+  static final int MAX_UNANSWERED_CALLS = 4_096;
+
   private static final long CHECK_INTERVAL_MICROS = CounterConnection.REPLY_TIMEOUT_MICROS / 4;
   private static final long MIN_BACKOFF_MICROS = 20_000;
   private static final long MAX_BACKOFF_MICROS = 500_000;
@@ -87,7 +89,6 @@
   private final Set<CounterConnection> openConnections = new HashSet<>();
 
   private Address address;
-  private int pendingCallCount;
   private Timers.Timer checkTimer;
 
   /**
@@ -140,21 +141,31 @@
       complete(call, CallResult.CONNECT_FAILED, 0);
       return;
     }
-    pendingCallCount++;
     call.timeoutTimer = timers.schedule(timeouts.callMicros(), () -> onTimeout(call));
     connection.send(call);
   }
 
   /** Returns the connection for a counter's calls, or null if none is available. */
   private CounterConnection connectionFor(String counterName) {
-    if (address == null || pendingCallCount >= MAX_PENDING_CALLS) {
+    if (address == null || unansweredCallCount() >= MAX_UNANSWERED_CALLS) {
       return null;
     }
     return slots.get(Math.floorMod(counterName.hashCode(), CONNECTION_COUNT)).connection();
   }
 
+  /**
+   * Returns the number of calls to the current address without a reply, including those that have
+   * timed out.
+   */
+  int unansweredCallCount() {
+    int count = 0;
+    for (ConnectionSlot slot : slots) {
+      count += slot.connection == null ? 0 : slot.connection.unansweredCallCount();
+    }
+    return count;
+  }
+
   private void onTimeout(CounterCall call) {
-    pendingCallCount--;
     call.timeoutTimer = null;
     complete(call, call.isWriteComplete ? CallResult.TIMEOUT : CallResult.CONNECT_FAILED, 0);
   }
@@ -163,10 +174,7 @@
     if (call.isCompleted()) {
       return;
     }
-    if (call.timeoutTimer != null) {
-      timers.cancel(call.timeoutTimer);
-      pendingCallCount--;
-    }
+    timers.cancel(call.timeoutTimer);
     long nowMicros = clock.nowMicros();
     activity.recordCounterCall(result, call.elapsedMicros(nowMicros));
     sequencer.complete(call, result, total, nowMicros);
--- a/src/main/java/fawndock/platform/CounterConnection.java
+++ b/src/main/java/fawndock/platform/CounterConnection.java
@@ -65,20 +65,26 @@
     connection.write(call.encode(), isWriteComplete -> call.isWriteComplete |= isWriteComplete);
   }
 
-  /** Marks the connection to be closed once no call is pending; it must get no further calls. */
+  /** Marks the connection to be closed once no call waits; it must get no further calls. */
   void retire() {
     isRetired = true;
   }
 
-  /** Aborts the connection if replies have stopped, or if it is retired and no call is pending. */
+  /** Aborts the connection if replies have stopped, or if it is retired and no call waits. */
   void abortIfUnusable(long nowMicros) {
-    boolean isUnusable =
-        pendingCalls.isEmpty() ? isRetired : nowMicros - lastReplyMicros > REPLY_TIMEOUT_MICROS;
-    if (isUnusable) {
+    boolean isSilent =
+        !pendingCalls.isEmpty() && nowMicros - lastReplyMicros > REPLY_TIMEOUT_MICROS;
+    boolean isDone = isRetired && pendingCalls.stream().allMatch(CounterCall::isCompleted);
+    if (isSilent || isDone) {
       abort();
     }
   }
 
+  /** Returns the number of calls without a reply, including those that have timed out. */
+  int unansweredCallCount() {
+    return pendingCalls.size();
+  }
+
   @Override
   public boolean expectsReply() {
     return !pendingCalls.isEmpty();
