New customers are admitted while the counter fails, also when its debts fill the memory

Quotas with units still to be sent were never evicted, and each failed call leaves such units for up to two windows; once they filled the budget, requests of new customers were rejected, though the design admits freely while the counter cannot be reached.

Change: within 5 s of a failed or late call a quota that owes units may be evicted too, after all that owe none. Quotas that have used half of their limit in the last two windows go last of all, so that a customer that comes in bursts is still held to its plan by this instance's own count. The flush of an evicted counter is forgotten with it.

QuotaMemoryTest has both cases; its burst case forwarded 210 units where 39 are allowed as long as much used quotas could go before those that owe units.

--- a/src/main/java/fawndock/policy/quota/CounterThrottle.java
+++ b/src/main/java/fawndock/policy/quota/CounterThrottle.java
@@ -67,7 +67,12 @@
    * cause throttling again.
    */
   boolean isThrottledOrRecovering() {
-    return isThrottled() || context.nowMicros() - lastThrottledAtMicros < RECOVERY_MICROS;
+    return isThrottled() || hasFailedRecently();
+  }
+
+  /** Returns whether a call has failed or was late recently. */
+  boolean hasFailedRecently() {
+    return context.nowMicros() - lastThrottledAtMicros < RECOVERY_MICROS;
   }
 
   /** Returns whether the counter is unreachable, so that requests do not wait for it. */
--- a/src/main/java/fawndock/policy/quota/PendingAdds.java
+++ b/src/main/java/fawndock/policy/quota/PendingAdds.java
@@ -60,6 +60,18 @@
     context.emit(new ScheduleTimer(delayMicros, new PolicyTimer.FlushPendingAdds(counter.name())));
   }
 
+  /** Forgets what is pending for the counters of a quota that is evicted. */
+  void forget(SlidingWindowQuota quota) {
+    forget(quota.currentCounter());
+    forget(quota.previousCounter());
+  }
+
+  private void forget(WindowCounter counter) {
+    if (counter.isFlushScheduled()) {
+      scheduledFlushes.remove(counter.name(), counter);
+    }
+  }
+
   /**
    * Sends the units that are still pending for a counter. While calls are throttled and no call is
    * allowed now, they wait for another delay.
--- a/src/main/java/fawndock/policy/quota/QuotaAdmission.java
+++ b/src/main/java/fawndock/policy/quota/QuotaAdmission.java
@@ -43,11 +43,16 @@
     this.deadlines = deadlines;
     this.settlesUnits = config.counter().settlesUnits();
     this.kinds = config.counter().isPresent() ? KINDS : NO_KINDS;
-    this.quotas =
-        new QuotaTable(context, maxLatencyObjectiveMicros, config.limits().maxQuotaBytes());
     this.calls = new CounterCalls(context);
     this.throttle = new CounterThrottle(context, random, calls, config);
     this.pendingAdds = new PendingAdds(context, random, calls, throttle);
+    this.quotas =
+        new QuotaTable(
+            context,
+            maxLatencyObjectiveMicros,
+            config.limits().maxQuotaBytes(),
+            throttle,
+            pendingAdds::forget);
     this.risk = new OverQuotaRisk(context);
     this.provenOverQuota = new ProvenOverQuota(context);
     this.previousWindowEstimate = new PreviousWindowEstimate(context, throttle);
--- a/src/main/java/fawndock/policy/quota/QuotaTable.java
+++ b/src/main/java/fawndock/policy/quota/QuotaTable.java
@@ -6,13 +6,16 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * The quotas of recently active customers, in bounded memory. A quota is evicted after so long
  * without a request that its history has little weight, and earlier if the memory is needed: the
- * least recently used one first, but none that still owes units to its counter (see {@link
- * SlidingWindowQuota#isInUse}). An evicted customer is counted on, since the totals are held by the
- * counter service; what is lost is this instance's estimate of its demand and risk.
+ * least recently used one first, but much used ones last. A quota in use is never evicted, and one
+ * that owes units to its counter only while the counter fails, so that debts do not fill the
+ * memory. An evicted customer is counted on, since the totals are held by the counter service; what
+ * is lost is this instance's estimate of its demand and risk.
  */
 final class QuotaTable {
   /** The longest window; its counters live for two windows, 60 s. */
@@ -27,6 +30,8 @@
   private final EventContext context;
   private final long concurrencyWindowMicros;
   private final long maxBytes;
+  private final CounterThrottle throttle;
+  private final Consumer<SlidingWindowQuota> evictionListener;
 
   /** Ordered by last use, least recently used first. */
   private final Map<String, SlidingWindowQuota> quotasByPrefix =
@@ -37,11 +42,20 @@
   /**
    * Creates an empty table; the window of concurrency limits is the longest latency objective, at
    * most {@link #MAX_WINDOW_MICROS}.
+   *
+   * @param evictionListener called with each quota that is evicted because the memory is full
    */
-  QuotaTable(EventContext context, long maxLatencyObjectiveMicros, long maxBytes) {
+  QuotaTable(
+      EventContext context,
+      long maxLatencyObjectiveMicros,
+      long maxBytes,
+      CounterThrottle throttle,
+      Consumer<SlidingWindowQuota> evictionListener) {
     this.context = context;
     this.concurrencyWindowMicros = Math.min(MAX_WINDOW_MICROS, maxLatencyObjectiveMicros);
     this.maxBytes = maxBytes;
+    this.throttle = throttle;
+    this.evictionListener = evictionListener;
   }
 
   /**
@@ -101,25 +115,39 @@
     }
   }
 
+  /** Evicts quotas until a new one of this size fits; returns whether it does. */
+  private boolean makeRoom(long bytes) {
+    long nowMicros = context.nowMicros();
+    evict(bytes, quota -> !quota.owesUnits(nowMicros) && !quota.isMuchUsed(nowMicros));
+    evict(bytes, quota -> mayForgetUnitsOf(quota) && !quota.isMuchUsed(nowMicros));
+    evict(bytes, this::mayForgetUnitsOf);
+    return hasRoom(bytes);
+  }
+
+  private boolean mayForgetUnitsOf(SlidingWindowQuota quota) {
+    return throttle.hasFailedRecently() || !quota.owesUnits(context.nowMicros());
+  }
+
   /**
-   * Evicts quotas until a new one of this size fits; returns whether it does. A quota that is in
-   * use moves to the end of the order instead (second chance), so that the next search finds
-   * others.
+   * Evicts quotas that are not in use and for which the condition holds, until there is room or
+   * enough quotas have been examined. The others move to the end of the order (second chance), so
+   * that the next search finds others.
    */
-  private boolean makeRoom(long bytes) {
-    for (int i = 0; i < MAX_EXAMINED_QUOTAS && mustEvict(bytes); i++) {
+  private void evict(long bytes, Predicate<SlidingWindowQuota> condition) {
+    int quotasToExamine = Math.min(MAX_EXAMINED_QUOTAS, quotasByPrefix.size());
+    for (int i = 0; i < quotasToExamine && !hasRoom(bytes); i++) {
       SlidingWindowQuota quota = quotasByPrefix.values().iterator().next();
-      if (quota.isInUse(context.nowMicros())) {
-        quotasByPrefix.get(quota.counterNamePrefix()); // An access moves it to the end.
-      } else {
+      if (!quota.isInUse() && condition.test(quota)) {
         quotasByPrefix.remove(quota.counterNamePrefix());
         usedBytes -= quota.sizeBytes();
+        evictionListener.accept(quota);
+      } else {
+        quotasByPrefix.get(quota.counterNamePrefix()); // An access moves it to the end.
       }
     }
-    return usedBytes + bytes <= maxBytes;
   }
 
-  private boolean mustEvict(long bytes) {
-    return usedBytes + bytes > maxBytes && !quotasByPrefix.isEmpty();
+  private boolean hasRoom(long bytes) {
+    return usedBytes + bytes <= maxBytes;
   }
 }
--- a/src/main/java/fawndock/policy/quota/SlidingWindowQuota.java
+++ b/src/main/java/fawndock/policy/quota/SlidingWindowQuota.java
@@ -14,6 +14,9 @@
   /** The names of the two counters, and their common prefix. */
   private static final int NAME_COUNT = 3;
 
+  /** A quota is worth keeping from this use on, as a ratio of its limit. */
+  private static final double MUCH_USED_LIMIT_RATIO = 0.5;
+
   private final QuotaKind kind;
   private final String counterNamePrefix;
   private final long windowMicros;
@@ -53,13 +56,28 @@
   }
 
   /**
-   * Returns whether requests in flight are charged to the quota, or units may still have to be sent
-   * to its counters. Discarding such a quota would lose units that it owes to the counter.
+   * Returns whether requests in flight are charged to the quota or its counters are being called.
    */
-  boolean isInUse(long nowMicros) {
+  boolean isInUse() {
     return activeCharges > 0
-        || currentCounter.isInUse(nowMicros)
-        || previousCounter.isInUse(nowMicros);
+        || currentCounter.hasCallsInFlight()
+        || previousCounter.hasCallsInFlight();
+  }
+
+  /** Returns whether units are still to be sent to the counters, which a new quota would not do. */
+  boolean owesUnits(long nowMicros) {
+    return currentCounter.owesUnits(nowMicros) || previousCounter.owesUnits(nowMicros);
+  }
+
+  /**
+   * Returns whether much of the limit was used in the last two windows. A new quota would not know
+   * it until the counter replies.
+   */
+  boolean isMuchUsed(long nowMicros) {
+    double forwardedUnits =
+        currentCounter.relevantForwardedUnits(nowMicros)
+            + previousCounter.relevantForwardedUnits(nowMicros);
+    return forwardedUnits >= MUCH_USED_LIMIT_RATIO * limitUnits;
   }
 
   QuotaKind kind() {
--- a/src/main/java/fawndock/policy/quota/WindowCounter.java
+++ b/src/main/java/fawndock/policy/quota/WindowCounter.java
@@ -109,13 +109,18 @@
     callsInFlight--;
   }
 
-  /**
-   * Returns whether this instance still has to send units to the counter, or may have to: a call in
-   * flight can fail.
-   */
-  boolean isInUse(long nowMicros) {
-    boolean hasPendingUnits = pendingUnits != 0 && !isExpired(nowMicros);
-    return hasPendingUnits || isFlushScheduled || callsInFlight > 0;
+  boolean hasCallsInFlight() {
+    return callsInFlight > 0;
+  }
+
+  /** Returns whether this instance still has to send units to the counter. */
+  boolean owesUnits(long nowMicros) {
+    return pendingUnits != 0 && !isExpired(nowMicros);
+  }
+
+  /** Returns the units forwarded in the window, or 0 once it no longer affects any decision. */
+  double relevantForwardedUnits(long nowMicros) {
+    return isExpired(nowMicros) ? 0 : forwardedUnits;
   }
 
   boolean isFlushScheduled() {
--- a/src/test/java/fawndock/policy/quota/QuotaMemoryTest.java
+++ b/src/test/java/fawndock/policy/quota/QuotaMemoryTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Tests what a gateway forgets, and what it keeps, when the memory for quotas is short. */
@@ -189,6 +190,43 @@
     assertEquals(1, gateway.forwarded("third"));
   }
 
+  /** Guards against customers who are rejected for want of memory while the counter is away. */
+  @ParameterizedTest
+  @EnumSource(
+      value = CallResult.class,
+      names = {"CONNECT_FAILED", "SHED", "TIMEOUT"})
+  void newCustomers_whileTheCounterFails_areServed(CallResult result) {
+    VirtualTimeGateway gateway = new VirtualTimeGateway(PolicyHarness.ratePlan(1, 30), SMALL_BYTES);
+    gateway.counterResult = result;
+    gateway.requestsOfNewCustomers(30_000, 60 * SECOND_MICROS);
+    gateway.runFor(SECOND_MICROS);
+    assertEquals(0, gateway.notServed.size(), gateway.notServed.size() + " were not served");
+    assertTrue(gateway.quotaCount() <= MAX_QUOTAS, gateway.quotaCount() + " quotas held");
+  }
+
+  /**
+   * Guards against a customer who uses its limit again as soon as it is forgotten, while the
+   * counter sheds calls and only this instance knows of its use.
+   */
+  @Test
+  void customerThatUsedItsLimit_whileTheCounterShedsCalls_isRemembered() {
+    Plan plan = PolicyHarness.ratePlan(1, 30);
+    VirtualTimeGateway gateway = new VirtualTimeGateway(plan, SMALL_BYTES);
+    gateway.counterResult = CallResult.SHED;
+    gateway.requestsOfNewCustomers(5 * MAX_QUOTAS, SECOND_MICROS);
+    int rounds = 8;
+    for (int round = 0; round < rounds; round++) {
+      for (int i = 0; i < 40; i++) {
+        gateway.request("customer");
+        gateway.runFor(1_000);
+      }
+      gateway.requestsOfNewCustomers(5 * MAX_QUOTAS, SECOND_MICROS);
+    }
+    assertTrue(
+        gateway.forwarded("customer") <= maxUnits(plan, rounds + 1),
+        gateway.forwarded("customer") + " were forwarded");
+  }
+
   /** Guards against a ceiling that starts anew whenever its customer was forgotten. */
   @Test
   void ceilingWithoutCounter_isHeldAcrossEvictions() {
