--- a/review/common-2/Worker.java
+++ b/review/common-2/Worker.java
@@ -11,7 +11,7 @@
 final class Worker implements AutoCloseable {
   final ServerSocket server = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
   private final Record record;
-  private final long workMillis;
+  private volatile long workMillis;
 
   /** How often each request id has run. */
   final Map<String, Integer> runs = new ConcurrentHashMap<>();
@@ -22,6 +22,10 @@
     Threads.start("worker", this::accept);
   }
 
+  void setWorkMillis(long millis) {
+    workMillis = millis;
+  }
+
   int port() {
     return server.getLocalPort();
   }
