Review case 10: the body of a wrongly framed HTTP request runs as a request

Change: case 10 sends one request with Transfer-Encoding: gzip, whose body looks like another request, to the HTTP gateway of the deploy file's jar. The HTTP/2 back end and the start of the gateway, which case 8 has too, move to review/common-2.

--- a/review/8/src/HangingAnswer.java
+++ b/review/8/src/HangingAnswer.java
@@ -1,14 +1,9 @@
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.concurrent.TimeUnit;
 
 /** A back end that hangs in the middle of a long answer of a class that is not streamed. */
 public final class HangingAnswer {
@@ -23,68 +18,29 @@
 
   public static void main(String[] arguments) throws Exception {
     Record record = new Record(Path.of(System.getProperty("case"), "record.txt"));
-    Path settings = Files.createTempFile("review", ".conf");
     int exitCode;
-    try (Http2Worker worker = new Http2Worker(record, BODY_BYTES, HANG_AFTER_BYTES)) {
-      int port = freePort();
-      Files.writeString(settings, settings(port, worker.port()));
-      Process gateway =
-          new ProcessBuilder("java", "-jar", "target/fawndock.jar", "run", "-c", settings.toString())
-              .directory(Path.of(System.getProperty("root")).toFile())
-              .redirectErrorStream(true)
-              .redirectOutput(ProcessBuilder.Redirect.DISCARD)
-              .start();
-      Runtime.getRuntime().addShutdownHook(new Thread(gateway::destroyForcibly));
-      exitCode = awaitReady(port) ? run(record, worker, port) : 2;
-      gateway.destroyForcibly();
-      gateway.waitFor(5, TimeUnit.SECONDS);
+    try (Http2Worker worker = new Http2Worker(record, BODY_BYTES, HANG_AFTER_BYTES);
+        HttpGateway gateway =
+            new HttpGateway(
+                "class lookup aim 500ms deadline " + DEADLINE_MILLIS + "ms repeat idempotent",
+                "route GET /tours lookup",
+                "plan basic rate 20 store 80",
+                "key 6f1e-secret customer one plan basic",
+                "sizes answer 32KiB",
+                "server w1 127.0.0.1:" + worker.port())) {
+      exitCode = gateway.awaitReady() ? run(record, worker, gateway) : 2;
     } finally {
-      Files.deleteIfExists(settings);
       record.close();
     }
     System.exit(exitCode);
   }
 
-  private static String settings(int port, int workerPort) {
-    return String.join(
-        "\n",
-        "listen 127.0.0.1:" + port,
-        "class lookup aim 500ms deadline " + DEADLINE_MILLIS + "ms repeat idempotent",
-        "route GET /tours lookup",
-        "plan basic rate 20 store 80",
-        "key 6f1e-secret customer one plan basic",
-        "sizes answer 32KiB",
-        // Each attempt gets a connection of its own, so that the worker needs no windows.
-        "pool connections 8 streams 1",
-        "server w1 127.0.0.1:" + workerPort,
-        "");
-  }
-
-  private static int freePort() throws IOException {
-    try (ServerSocket reservation = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return reservation.getLocalPort();
-    }
-  }
-
-  private static boolean awaitReady(int port) {
-    for (int i = 0; i < 300; i++) {
-      try (Socket socket = new Socket()) {
-        socket.connect(new InetSocketAddress("127.0.0.1", port), 1_000);
-        return true;
-      } catch (IOException e) {
-        Threads.sleep(100);
-      }
-    }
-    return false;
-  }
-
-  private static int run(Record record, Http2Worker worker, int port) throws IOException {
+  private static int run(Record record, Http2Worker worker, HttpGateway gateway) throws IOException {
     if (Deployment.hasTrouble()) {
       worker.hang();
     }
     long startedNanos = System.nanoTime();
-    try (Socket socket = new Socket()) {
-      socket.connect(new InetSocketAddress("127.0.0.1", port), 1_000);
+    try (Socket socket = gateway.connect()) {
       String request =
           "GET /tours HTTP/1.1\r\nHost: 127.0.0.1\r\nX-API-Key: 6f1e-secret\r\n"
               + "X-Envoy-Expected-Rq-Timeout-Ms: " + DEADLINE_MILLIS + "\r\n\r\n";
--- a/review/8/src/Http2Worker.java
+++ b/review/common-2/Http2Worker.java
@@ -6,6 +6,11 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 
 /**
  * A back end that speaks HTTP/2 without TLS: answers each request with status 200, its length and a
@@ -29,6 +34,9 @@
   private final int hangAfterBytes;
   private volatile boolean isHanging;
 
+  /** The body of each request that has come whole, in order. */
+  final List<String> bodies = Collections.synchronizedList(new ArrayList<>());
+
   Http2Worker(Record record, int bodyBytes, int hangAfterBytes) throws IOException {
     this.record = record;
     this.bodyBytes = bodyBytes;
@@ -62,6 +70,7 @@
       OutputStream out = socket.getOutputStream();
       in.readNBytes(PREFACE_BYTES);
       out.write(frame(SETTINGS, 0, 0, new byte[0]));
+      Map<Integer, String> openBodies = new HashMap<>();
       while (true) {
         int length = in.readUnsignedByte() << 16 | in.readUnsignedShort();
         int type = in.readUnsignedByte();
@@ -69,6 +78,10 @@
         int stream = in.readInt() & 0x7FFFFFFF;
         byte[] payload = new byte[length];
         in.readFully(payload);
+        if (type == DATA) {
+          String part = new String(payload, StandardCharsets.ISO_8859_1);
+          openBodies.merge(stream, part, String::concat);
+        }
         if (type == SETTINGS && (flags & ACK) == 0) {
           out.write(frame(SETTINGS, ACK, 0, new byte[0]));
         } else if (type == PING && (flags & ACK) == 0) {
@@ -76,6 +89,9 @@
         } else if (type == RST_STREAM) {
           record.line("worker: stream %d is reset", stream);
         } else if ((type == HEADERS || type == DATA) && (flags & END_STREAM) != 0) {
+          String body = openBodies.getOrDefault(stream, "");
+          bodies.add(body);
+          record.line("run stream %d, body '%s'", stream, body.replace("\r\n", " | "));
           answer(out, stream);
         }
       }
