--- a/review/6/src/HalfCommands.java
+++ b/review/6/src/HalfCommands.java
@@ -12,8 +12,8 @@
   private static final int SOCKETS = 1_024;
   private static final int USUAL_CLIENTS = 6;
 
-  /** With the usual clients fewer than a third of the descriptors. */
-  private static final int BAD_CLIENTS = 300;
+  /** With the usual clients a quarter of the descriptors. */
+  private static final int BAD_CLIENTS = 250;
 
   /** Less than the 64 KiB that a value may have. */
   private static final int WORD_BYTES = 65_000;
