--- a/review/common-2/Deployment.java
+++ b/review/common-2/Deployment.java
@@ -27,6 +27,17 @@
         new Gatekeeper(
             record, folder, discovery.port(), counter.port(), DiscoveryStandIn.list(ports),
             memoryMb, sockets);
+    Runtime.getRuntime().addShutdownHook(new Thread(this::endAtExit));
+  }
+
+  /** Ends the gatekeeper and removes the folder also when the script is ended by a signal. */
+  private void endAtExit() {
+    gatekeeper.close();
+    try {
+      deleteFolder();
+    } catch (IOException e) {
+      System.err.println("folder left: " + folder);
+    }
   }
 
   /** Returns whether the disruption is wanted: not with TROUBLE=0 in the environment. */
@@ -48,6 +59,13 @@
       worker.close();
     }
     record.close();
+    deleteFolder();
+  }
+
+  private void deleteFolder() throws IOException {
+    if (!Files.exists(folder)) {
+      return;
+    }
     try (Stream<Path> files = Files.walk(folder)) {
       for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
         Files.deleteIfExists(file);
