Review case 7: answers that never end exhaust the heap of a gatekeeper

Change: case 7 gives one of five answers of all workers spoilt, an array that does not end, under usual clients.

--- a/review/common-2/Worker.java
+++ b/review/common-2/Worker.java
@@ -6,12 +6,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A sound worker by PROTOCOL.md: runs each request and answers it with a value made from its id. */
 final class Worker implements AutoCloseable {
   final ServerSocket server = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
   private final Record record;
+  private final AtomicInteger commands = new AtomicInteger();
   private volatile long workMillis;
+  private volatile int spoiltOneIn;
+  private volatile byte[] spoiltAnswer;
 
   /** How often each request id has run. */
   final Map<String, Integer> runs = new ConcurrentHashMap<>();
@@ -26,6 +30,12 @@
     workMillis = millis;
   }
 
+  /** Gives one of so many answers as these bytes, after which nothing more comes. */
+  void spoil(int oneIn, byte[] answer) {
+    spoiltAnswer = answer;
+    spoiltOneIn = oneIn;
+  }
+
   int port() {
     return server.getLocalPort();
   }
@@ -56,6 +66,12 @@
             runs.merge(id, 1, Integer::sum);
             record.line("run %s %s", id, words.get(3));
             Threads.sleep(workMillis);
+            if (spoiltOneIn > 0 && commands.incrementAndGet() % spoiltOneIn == 0) {
+              record.line("spoilt answer %s", id);
+              out.write(spoiltAnswer);
+              socket.getInputStream().read(); // Until the gatekeeper closes the connection.
+              return;
+            }
             out.write(Resp.served(value(id)));
           }
           default -> out.write("-ERR unknown command\r\n".getBytes());
