Review: scripts of the HTTP gateway leave no settings file when ended early

Need: a script that is ended by a signal must leave nothing behind.

Change: HttpGateway of review/common-2 removes its settings file at the exit too.

--- a/review/common-2/HttpGateway.java
+++ b/review/common-2/HttpGateway.java
@@ -31,6 +31,7 @@
             .redirectOutput(ProcessBuilder.Redirect.DISCARD)
             .start();
     Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+    settings.toFile().deleteOnExit();
   }
 
   /** Waits until the gateway takes connections; false after 30 s. */
