Every pipelined command gets its answer, also beyond the 64th and behind an error

Cause: ClientConnection.checkTimeouts closed a connection 2 s after its error was queued, whatever was in flight before it, and the 65th command was such an error. Shown apart from each other on the text before: 60 commands behind a slow one and then a malformed one lose their answers too.

Change: an error starts no clock; the close follows when all earlier responses and the error have been written. Commands beyond the limit are refused one by one in their order (-BUSY, never sent on); consecutive refusals share one slot. The reply "too many commands at once" is gone from the protocol and from the list of its texts.

--- a/src/main/java/fawndock/platform/ClientListener.java
+++ b/src/main/java/fawndock/platform/ClientListener.java
@@ -17,8 +17,8 @@
  */
 final class ClientListener implements AutoCloseable {
   /**
-   * Time after which a connection is closed that has sent no first command, holds an incomplete
-   * command, or had a protocol error.
+   * Time after which a connection is closed that has sent no first command, and after which an
+   * incomplete command is answered with an error.
    */
   static final long COMMAND_TIMEOUT_MICROS = 2_000_000;
 
--- a/src/main/java/fawndock/platform/PlatformProtocol.java
+++ b/src/main/java/fawndock/platform/PlatformProtocol.java
@@ -80,9 +80,6 @@
   /** Error reply if a request with the same id is in flight. */
   static final String ERROR_DUPLICATE_ID = "ERR the id is open already";
 
-  /** Error reply if too many commands of one connection are in flight. */
-  static final String ERROR_TOO_MANY_COMMANDS = "ERR too many commands at once";
-
   /** Error reply if the rest of a command does not arrive in time. */
   static final String ERROR_INCOMPLETE_COMMAND = "ERR the command did not end";
 
--- a/src/main/java/fawndock/platform/ResponseQueue.java
+++ b/src/main/java/fawndock/platform/ResponseQueue.java
@@ -21,6 +21,12 @@
   /** Request id of a slot whose command is not a request. */
   private static final long NO_REQUEST = -1;
 
+  private static final ByteBuf REFUSAL =
+      Unpooled.unreleasableBuffer(encodeError(PlatformProtocol.ERROR_REJECTED).asReadOnly());
+
+  /** Number of refusals that are joined. */
+  private static final int MAX_JOINED_REFUSALS = MAX_JOINED_BYTES / REFUSAL.readableBytes();
+
   /** The connection that the responses are written to. */
   interface Output {
     /** Returns whether the client reads, so that little of what was written is still buffered. */
@@ -45,6 +51,9 @@
     /** Size of the response if it is a value, which counts as held; 0 for any other. */
     private int valueBytes;
 
+    /** Number of refusals that the slot stands for; 0 if it has a response of its own. */
+    private long refusalCount;
+
     /** Sets the exchange of the command, a request that is submitted now. */
     void setExchange(ClientExchange newExchange) {
       exchange = newExchange;
@@ -131,6 +140,20 @@
     return slot;
   }
 
+  /**
+   * Adds the response to a command that is refused without being looked at. Consecutive refusals
+   * share a slot, so that any number of them needs no more memory than one.
+   */
+  void addRefusal() {
+    Slot last = slots.peekLast();
+    if (last == null || last.refusalCount == 0) {
+      last = addSlot();
+      last.response = REFUSAL;
+    }
+    last.refusalCount++;
+  }
+
+  /** Returns the number of slots; consecutive refusals count as one. */
   int size() {
     return slots.size();
   }
@@ -163,8 +186,29 @@
     return !slots.isEmpty() && slots.peek().response != null;
   }
 
-  /** Writes the first response, joined with those after it that are ready and short. */
   private void writeNext() {
+    if (slots.peek().refusalCount > 0) {
+      writeRefusals(slots.peek());
+    } else {
+      writeResponses();
+    }
+  }
+
+  private void writeRefusals(Slot slot) {
+    int count = (int) Math.min(slot.refusalCount, MAX_JOINED_REFUSALS);
+    ByteBuf out = Unpooled.buffer(count * REFUSAL.readableBytes());
+    for (int i = 0; i < count; i++) {
+      out.writeBytes(REFUSAL, REFUSAL.readerIndex(), REFUSAL.readableBytes());
+    }
+    slot.refusalCount -= count;
+    if (slot.refusalCount == 0) {
+      slots.poll();
+    }
+    output.write(out, () -> {});
+  }
+
+  /** Writes the first response, joined with those after it that are ready and short. */
+  private void writeResponses() {
     List<ByteBuf> joined = new ArrayList<>(1);
     int joinedBytes = 0;
     int joinedValueBytes = 0;
@@ -174,6 +218,7 @@
       joinedBytes += slot.response.readableBytes();
       joinedValueBytes += slot.valueBytes;
     } while (isHeadReady()
+        && slots.peek().refusalCount == 0
         && joinedBytes + slots.peek().response.readableBytes() <= MAX_JOINED_BYTES);
     droppableBytes -= joinedValueBytes;
     int writtenValueBytes = joinedValueBytes;
