Commands received in part have a bound on their memory over all connections

Cause: only whole commands were counted. Incomplete ones were held without a count, twice: the words read, and the whole buffer that they came in. Histograms of the live heap with 150 such clients: 21.2 MB of byte arrays, 11.5 MB where the stop is inside the long word; nothing else grew.

Change: PartialMessageMemory counts what each connection holds of an incomplete command, in both layers, and drops the one with the largest product of bytes and time beyond a 32nd of the memory: error after all earlier responses, then the close. UnreadBytes lets go of what has been read and grows by half, so that a command that comes byte by byte is not copied for each.

--- a/src/main/java/fawndock/platform/ByteConnection.java
+++ b/src/main/java/fawndock/platform/ByteConnection.java
@@ -25,7 +25,7 @@
   private static final int MAX_LINGER_BYTES = 256 << 10;
 
   private ChannelHandlerContext context;
-  private ByteBuf bufferedBytes = Unpooled.EMPTY_BUFFER;
+  private final UnreadBytes unreadBytes = new UnreadBytes();
   private boolean isClosed;
   private int discardedBytes;
 
@@ -64,23 +64,40 @@
     try {
       if (isClosed) {
         discard(received.readableBytes());
-      } else if (bufferedBytes.isReadable()) {
-        int size = bufferedBytes.readableBytes() + received.readableBytes();
-        deliver(Unpooled.buffer(size).writeBytes(bufferedBytes).writeBytes(received), false);
+      } else if (unreadBytes.isEmpty()) {
+        onBytes(received);
+        retainUnread(received);
       } else {
-        deliver(received, true);
+        unreadBytes.append(received);
+        redeliverBufferedBytes();
       }
     } finally {
       received.release();
     }
   }
 
-  private void deliver(ByteBuf bytes, boolean mustCopy) {
-    bufferedBytes = Unpooled.EMPTY_BUFFER;
-    onBytes(bytes);
-    if (!isClosed && bytes.isReadable()) {
-      bufferedBytes = mustCopy ? Unpooled.buffer(bytes.readableBytes()).writeBytes(bytes) : bytes;
+  /** Copies what is left of the bytes received in this turn. */
+  private void retainUnread(ByteBuf received) {
+    if (!isClosed && received.isReadable()) {
+      unreadBytes.append(received);
     }
+    onRetained();
+  }
+
+  /**
+   * Called after bytes have been read and the rest has been retained, for the count of memory; see
+   * {@link #retainedBytes}.
+   */
+  void onRetained() {}
+
+  /** Returns the memory of bytes that have arrived and are not read, in bytes. */
+  final int retainedBytes() {
+    return unreadBytes.heldBytes();
+  }
+
+  /** Drops all bytes that have arrived and are not read. */
+  final void discardBufferedBytes() {
+    unreadBytes.clear();
   }
 
   private void discard(int bytes) {
@@ -92,13 +109,19 @@
 
   /** Passes the buffered bytes to {@link #onBytes} once more. */
   final void redeliverBufferedBytes() {
-    if (!isClosed && bufferedBytes.isReadable()) {
-      deliver(bufferedBytes, false);
+    if (isClosed || unreadBytes.isEmpty()) {
+      return;
+    }
+    ByteBuf bytes = unreadBytes.take();
+    onBytes(bytes);
+    if (!isClosed) {
+      unreadBytes.set(bytes);
     }
+    onRetained();
   }
 
   final boolean hasBufferedBytes() {
-    return bufferedBytes.isReadable();
+    return !unreadBytes.isEmpty();
   }
 
   /**
@@ -197,7 +220,7 @@
 
   private void markClosed() {
     isClosed = true;
-    bufferedBytes = Unpooled.EMPTY_BUFFER;
+    unreadBytes.clear();
   }
 
   final boolean isClosed() {
--- a/src/main/java/fawndock/platform/ClientConnection.java
+++ b/src/main/java/fawndock/platform/ClientConnection.java
@@ -12,7 +12,8 @@
  * protocol error the client gets an error reply after all pending responses, and no further command
  * is read. Confined to one event loop.
  */
-final class ClientConnection extends ByteConnection implements ResponseQueue.Output {
+final class ClientConnection extends ByteConnection
+    implements ResponseQueue.Output, PartialMessageMemory.Holder {
   /** Maximum number of commands in flight on one connection; further ones are refused. */
   private static final int MAX_PENDING_RESPONSES = 64;
 
@@ -45,6 +46,10 @@
   private boolean hasFailed;
 
   private boolean hasSentCommand;
+
+  /** Whether a whole command has been read since the memory of incomplete ones was counted. */
+  private boolean hasReadSinceRetained;
+
   private boolean isReadingCommands;
   private boolean isFlushing;
   private boolean isDisconnectHandled;
@@ -73,9 +78,23 @@
       return;
     }
     updateIncompleteSince(in, hasReadCommand);
+    hasReadSinceRetained |= hasReadCommand;
     flushResponses();
   }
 
+  @Override
+  void onRetained() {
+    long bytes = isClosed() ? 0 : reader.partialCommandBytes() + retainedBytes();
+    boolean hasProgressed = hasReadSinceRetained;
+    hasReadSinceRetained = false;
+    listener.commandMemory().update(this, bytes, hasProgressed);
+  }
+
+  @Override
+  public void onEvicted() {
+    fail(PlatformProtocol.ERROR_NO_COMMAND_MEMORY);
+  }
+
   /** Processes all complete commands; returns whether there were any. */
   private boolean readCommands(ByteBuf in) {
     boolean hasReadCommand = false;
@@ -149,6 +168,8 @@
     ResponseQueue.Slot slot = responses.addSlot();
     hasFailed = true;
     incompleteSinceMicros = NEVER;
+    reader.close();
+    discardBufferedBytes();
     slot.respondError(error);
   }
 
@@ -261,6 +282,7 @@
     }
     isDisconnectHandled = true;
     listener.onClosed(this);
+    listener.commandMemory().release(this);
     responses.clear(listener::onClientDisconnected);
   }
 }
--- a/src/main/java/fawndock/platform/ClientListener.java
+++ b/src/main/java/fawndock/platform/ClientListener.java
@@ -49,14 +49,21 @@
    * @param maxRequests requests in flight
    * @param maxRequestBytes bytes held by all requests in flight
    * @param maxResponseBytes bytes held by all responses that cannot be written yet
+   * @param maxPartialCommandBytes bytes held by all commands that have been received in part
    */
-  record Limits(int maxConnections, int maxRequests, long maxRequestBytes, long maxResponseBytes) {}
+  record Limits(
+      int maxConnections,
+      int maxRequests,
+      long maxRequestBytes,
+      long maxResponseBytes,
+      long maxPartialCommandBytes) {}
 
   private final TcpTransport transport;
   private final PolicyRunner runner;
   private final ClientCommandParser parser;
   private final Limits limits;
   private final ResponseMemory responseMemory;
+  private final PartialMessageMemory commandMemory;
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
   /**
@@ -79,6 +86,8 @@
     this.parser = parser;
     this.limits = limits;
     this.responseMemory = new ResponseMemory(limits.maxResponseBytes());
+    this.commandMemory =
+        new PartialMessageMemory(limits.maxPartialCommandBytes(), runner.clock()::nowMicros);
   }
 
   /** Starts to accept connections; the future fails if the address cannot be bound. */
@@ -153,6 +162,11 @@
     return responseMemory;
   }
 
+  /** Returns the memory of commands that have been received in part. */
+  PartialMessageMemory commandMemory() {
+    return commandMemory;
+  }
+
   /**
    * Returns the error reply for a command that is not admitted, or null if it is admitted.
    *
--- a/src/main/java/fawndock/platform/PlatformGateway.java
+++ b/src/main/java/fawndock/platform/PlatformGateway.java
@@ -44,6 +44,9 @@
   /** Responses that cannot be written yet may hold the process's memory limit divided by this. */
   private static final long RESPONSE_MEMORY_DIVISOR = 8;
 
+  /** Commands received in part may hold the process's memory limit divided by this. */
+  private static final long PARTIAL_COMMAND_MEMORY_DIVISOR = 32;
+
   /** The quotas of customers may hold the process's memory limit divided by this. */
   private static final long QUOTA_MEMORY_DIVISOR = 24;
 
@@ -140,7 +143,8 @@
             (int) (CLIENT_SOCKET_RATIO * config.maxSockets()),
             config.policy().limits().maxInFlight(),
             config.memoryBytes() / REQUEST_MEMORY_DIVISOR,
-            config.memoryBytes() / RESPONSE_MEMORY_DIVISOR));
+            config.memoryBytes() / RESPONSE_MEMORY_DIVISOR,
+            config.memoryBytes() / PARTIAL_COMMAND_MEMORY_DIVISOR));
   }
 
   /** Watches endpoint discovery, and listens once an endpoint list is available. */
--- a/src/main/java/fawndock/platform/PlatformProtocol.java
+++ b/src/main/java/fawndock/platform/PlatformProtocol.java
@@ -80,6 +80,9 @@
   /** Error reply if a request with the same id is in flight. */
   static final String ERROR_DUPLICATE_ID = "ERR the id is open already";
 
+  /** Error reply if there is no memory for the rest of a command. */
+  static final String ERROR_NO_COMMAND_MEMORY = "ERR no memory for the rest of the command";
+
   /** Error reply if the rest of a command does not arrive in time. */
   static final String ERROR_INCOMPLETE_COMMAND = "ERR the command did not end";
 
--- a/src/main/java/fawndock/resp/CommandReader.java
+++ b/src/main/java/fawndock/resp/CommandReader.java
@@ -36,6 +36,11 @@
   private static final long INCOMPLETE_NUMBER = Long.MIN_VALUE;
   private static final int UNKNOWN_LENGTH = -1;
 
+  /** Memory of an array beside its elements. */
+  private static final int ARRAY_HEADER_BYTES = 24;
+
+  private static final int REFERENCE_BYTES = 4;
+
   private final Limits limits;
 
   /** The arguments of the command that is being read; null between commands. */
@@ -46,8 +51,12 @@
   /** Length of the next argument, or {@link #UNKNOWN_LENGTH}. */
   private int argumentLength = UNKNOWN_LENGTH;
 
+  /** Length of all arguments whose length has been read. */
   private int commandBytes;
 
+  /** Length of the arguments that have been read. */
+  private int argumentBytes;
+
   /** Creates a reader with limits. */
   public CommandReader(Limits limits) {
     this.limits = limits;
@@ -90,6 +99,20 @@
     return arguments != null;
   }
 
+  /** Returns the memory of the command that has been read in part, in bytes; 0 between commands. */
+  public long partialCommandBytes() {
+    return arguments == null
+        ? 0
+        : argumentBytes
+            + (long) argumentCount * ARRAY_HEADER_BYTES
+            + (long) arguments.length * REFERENCE_BYTES;
+  }
+
+  /** Drops the command that has been read in part; the reader must not be used afterwards. */
+  public void close() {
+    arguments = null;
+  }
+
   /** Reads the header of an array; returns false while it is incomplete. */
   private boolean beginArray(ByteBuf in) throws ProtocolException {
     long count = readNumber(in, "invalid multibulk length", limits.maxArguments);
@@ -103,6 +126,7 @@
       arguments = new byte[(int) count][];
       argumentCount = 0;
       commandBytes = 0;
+      argumentBytes = 0;
     }
     return true;
   }
@@ -122,6 +146,7 @@
       throw new ProtocolException("expected the end of a bulk string");
     }
     arguments[argumentCount++] = argument;
+    argumentBytes += argument.length;
     argumentLength = UNKNOWN_LENGTH;
     return true;
   }
--- a/src/test/java/fawndock/platform/PlatformProtocolTest.java
+++ b/src/test/java/fawndock/platform/PlatformProtocolTest.java
@@ -40,6 +40,7 @@
             "ERR ",
             "ERR failed",
             "ERR no answer in time",
+            "ERR no memory for the rest of the command",
             "ERR stopping",
             "ERR the command did not end",
             "ERR the id is open already",
