Replies received in part have a bound on their memory over all connections

Cause: what has arrived of a reply was held uncounted until it was whole or its attempt's time was over, up to 8 strings of 64 KiB for each attempt.

Change: a PartialMessageMemory for replies, a 32nd of the process's memory; beyond it the reply with the largest product of bytes and time is dropped, a failed attempt that may have run. An array of more than the three elements of a good reply fails at its head.

--- a/src/main/java/fawndock/platform/BackendConnectionPools.java
+++ b/src/main/java/fawndock/platform/BackendConnectionPools.java
@@ -28,8 +28,13 @@
    * @param maxConnections open connections of all pools
    * @param connectTimeoutMicros timeout for opening a connection
    * @param idleTimeoutMicros time after which an idle connection is closed
+   * @param maxPartialReplyBytes bytes held by all replies that have been received in part
    */
-  record Limits(int maxConnections, long connectTimeoutMicros, long idleTimeoutMicros) {}
+  record Limits(
+      int maxConnections,
+      long connectTimeoutMicros,
+      long idleTimeoutMicros,
+      long maxPartialReplyBytes) {}
 
   /** The pool of one endpoint at one address. */
   static final class EndpointPool {
@@ -49,6 +54,7 @@
   private final LongSupplier clockMicros;
   private final ActivitySummary activity;
   private final Limits limits;
+  private final PartialMessageMemory replyMemory;
   private final Map<String, EndpointPool> pools = new HashMap<>();
   private int openConnectionCount;
 
@@ -59,6 +65,7 @@
     this.clockMicros = clockMicros;
     this.activity = activity;
     this.limits = limits;
+    replyMemory = new PartialMessageMemory(limits.maxPartialReplyBytes(), clockMicros);
   }
 
   /** Sets an endpoint's address. Connections to its former address are closed once idle. */
@@ -174,6 +181,7 @@
   /** Removes a closed connection from its pool. */
   void onConnectionClosed(EndpointPool pool, PooledConnection connection) {
     pool.idleConnections.remove(connection);
+    replyMemory.release(connection);
     openConnectionCount--;
   }
 
@@ -199,6 +207,11 @@
     return activity;
   }
 
+  /** Returns the memory of replies that have been received in part. */
+  PartialMessageMemory replyMemory() {
+    return replyMemory;
+  }
+
   long connectTimeoutMicros() {
     return limits.connectTimeoutMicros();
   }
--- a/src/main/java/fawndock/platform/BackendReply.java
+++ b/src/main/java/fawndock/platform/BackendReply.java
@@ -28,7 +28,7 @@
     double unitsUsed,
     boolean isConnectionReusable) {
   /** Elements of a successful reply: value, usage and load report. */
-  private static final int ELEMENT_COUNT = 3;
+  static final int ELEMENT_COUNT = 3;
 
   private static final int MAX_FIELDS = 32;
   private static final BackendReply MALFORMED =
--- a/src/main/java/fawndock/platform/PlatformGateway.java
+++ b/src/main/java/fawndock/platform/PlatformGateway.java
@@ -47,6 +47,9 @@
   /** Commands received in part may hold the process's memory limit divided by this. */
   private static final long PARTIAL_COMMAND_MEMORY_DIVISOR = 32;
 
+  /** Replies of backends received in part may hold the process's memory limit divided by this. */
+  private static final long PARTIAL_REPLY_MEMORY_DIVISOR = 32;
+
   /** The quotas of customers may hold the process's memory limit divided by this. */
   private static final long QUOTA_MEMORY_DIVISOR = 24;
 
@@ -119,7 +122,8 @@
         config.connectTimeoutMicros(),
         endpointTimeoutMicros <= 0
             ? DEFAULT_IDLE_TIMEOUT_MICROS
-            : (long) (IDLE_TIMEOUT_RATIO * endpointTimeoutMicros));
+            : (long) (IDLE_TIMEOUT_RATIO * endpointTimeoutMicros),
+        config.memoryBytes() / PARTIAL_REPLY_MEMORY_DIVISOR);
   }
 
   private CounterClient createCounterClient() {
--- a/src/main/java/fawndock/platform/PooledConnection.java
+++ b/src/main/java/fawndock/platform/PooledConnection.java
@@ -9,12 +9,11 @@
  * One connection to a backend, either used by one attempt or idle in its pool. Bytes received on an
  * idle connection, such as a late duplicate response, close it. Confined to one event loop.
  */
-final class PooledConnection implements RespConnection.Listener {
+final class PooledConnection implements RespConnection.Listener, PartialMessageMemory.Holder {
   private static final int MAX_VALUE_BYTES = 64 << 10;
   private static final int MAX_LINE_BYTES = 1_024;
-  private static final int MAX_ELEMENTS = 8;
   private static final ReplyReader REPLY_READER =
-      new ReplyReader(MAX_VALUE_BYTES, MAX_LINE_BYTES, MAX_ELEMENTS);
+      new ReplyReader(MAX_VALUE_BYTES, MAX_LINE_BYTES, BackendReply.ELEMENT_COUNT);
 
   private final BackendConnectionPools pools;
   private final BackendConnectionPools.EndpointPool pool;
@@ -83,6 +82,18 @@
     completedAttempt.onReply(backendReply);
   }
 
+  @Override
+  public void onRetained(int retainedBytes) {
+    // A connection gets one reply at a time, so what it retains has begun with its first byte.
+    pools.replyMemory().update(this, retainedBytes, false);
+  }
+
+  @Override
+  public void onEvicted() {
+    connection.close();
+    onProtocolError("no memory for the rest of the reply");
+  }
+
   @Override
   public void onProtocolError(String reason) {
     pools.activity().recordError(reason);
--- a/src/main/java/fawndock/platform/RespConnection.java
+++ b/src/main/java/fawndock/platform/RespConnection.java
@@ -33,6 +33,15 @@
      */
     void onReply(Reply reply, boolean hasMoreBytes);
 
+    /**
+     * Called after bytes have been received.
+     *
+     * @param retainedBytes memory of the reply that is not whole; 0 if there is none
+     */
+    default void onRetained(int retainedBytes) {
+      // Replies that are always short need no count of their memory.
+    }
+
     /** Called after the connection was closed because of bytes that are not a valid reply. */
     void onProtocolError(String reason);
 
@@ -49,6 +58,13 @@
           readReplies(in);
         }
 
+        @Override
+        void onRetained() {
+          if (!RespConnection.this.isClosed) {
+            listener.onRetained(retainedBytes());
+          }
+        }
+
         @Override
         void onDisconnected() {
           notifyClosed(isConnected);
