Closes of clients' connections wait until what is owed has been read

Cause: a half-close ended 1 s after it was begun though its client had not read the answers before it; 256 KiB behind it reset the connection; a client that wrote over 128 KiB before it read was closed with its answers and its requests in flight; at the connection limit a half-closed connection went whether its bytes had been sent or not (the last was read in the code, not played).

Change: the second for the peer's close runs from when everything has been sent, until then the timeout for clients that do not read. Beyond the bounds of bytes the connection stops reading instead of closing. Only flushed half-closed connections make room for new ones.

--- a/src/main/java/fawndock/platform/ByteConnection.java
+++ b/src/main/java/fawndock/platform/ByteConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
 import java.io.IOException;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -18,15 +19,19 @@
 abstract class ByteConnection extends ChannelInboundHandlerAdapter implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(ByteConnection.class);
 
-  /** Time that the peer has to close after a half-close. */
-  private static final long LINGER_TIMEOUT_MILLIS = 1_000;
+  /** Time that the peer has to close once all bytes and the half-close have been sent. */
+  static final long LINGER_TIMEOUT_MICROS = 1_000_000;
 
-  /** Number of bytes that are read and discarded after a half-close; more close the connection. */
+  /**
+   * Number of bytes that are read and discarded after a half-close. Further bytes stay unread: a
+   * close would reset the connection while the peer may still be reading.
+   */
   private static final int MAX_LINGER_BYTES = 256 << 10;
 
   private ChannelHandlerContext context;
   private final UnreadBytes unreadBytes = new UnreadBytes();
   private boolean isClosed;
+  private boolean isOutputShutDown;
   private int discardedBytes;
 
   /**
@@ -103,10 +108,18 @@
   private void discard(int bytes) {
     discardedBytes += bytes;
     if (discardedBytes > MAX_LINGER_BYTES) {
-      closeChannel();
+      setReading(false);
     }
   }
 
+  /**
+   * Sets whether bytes are read. Those that are not stay in the socket, and a disconnect is then
+   * noticed by a write alone.
+   */
+  final void setReading(boolean isReading) {
+    context.channel().config().setAutoRead(isReading);
+  }
+
   /** Passes the buffered bytes to {@link #onBytes} once more. */
   final void redeliverBufferedBytes() {
     if (isClosed || unreadBytes.isEmpty()) {
@@ -160,8 +173,11 @@
    * Closes the connection once everything written has been sent: output is shut down, and input is
    * read and discarded until the peer closes, within limits. A plain close with unread bytes would
    * send a reset, which can destroy a response in transit. Idempotent.
+   *
+   * @param flushTimeoutMicros time after which the connection is closed although the peer has not
+   *     read what was written
    */
-  final void halfClose() {
+  final void halfClose(long flushTimeoutMicros) {
     if (isClosed) {
       return;
     }
@@ -170,25 +186,35 @@
       closeChannel();
       return;
     }
+    Future<?> flushTimer = closeAfter(flushTimeoutMicros);
     // The listener runs in this turn if everything has been written, as is mostly the case;
     // otherwise as soon as it is.
     var unusedShutdown =
         send(Unpooled.EMPTY_BUFFER)
-            .addListener(written -> shutDownOutput(channel, written.isSuccess()));
-    var lingerTimer =
-        context
-            .executor()
-            .schedule(this::closeChannel, LINGER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-    var unusedCancel = channel.closeFuture().addListener(closed -> lingerTimer.cancel(false));
+            .addListener(
+                written -> {
+                  flushTimer.cancel(false);
+                  shutDownOutput(channel, written.isSuccess());
+                });
   }
 
   private void shutDownOutput(DuplexChannel channel, boolean isWritten) {
-    if (isWritten) {
-      // If the shutdown fails, the linger timer closes the channel.
-      var unused = channel.shutdownOutput();
-    } else {
+    if (!isWritten) {
       closeChannel();
+      return;
     }
+    isOutputShutDown = true;
+    // If the shutdown fails, the timer closes the channel.
+    var unusedShutdown = channel.shutdownOutput();
+    var unusedTimer = closeAfter(LINGER_TIMEOUT_MICROS);
+  }
+
+  /** Closes the channel after a time, unless it has been closed by then. */
+  private Future<?> closeAfter(long timeoutMicros) {
+    Future<?> timer =
+        context.executor().schedule(this::closeChannel, timeoutMicros, TimeUnit.MICROSECONDS);
+    var unusedCancel = context.channel().closeFuture().addListener(closed -> timer.cancel(false));
+    return timer;
   }
 
   private void closeChannel() {
@@ -196,6 +222,11 @@
     var unused = context.close();
   }
 
+  /** Returns whether a half-close has been sent, behind all bytes that were written. */
+  final boolean isOutputShutDown() {
+    return isOutputShutDown;
+  }
+
   /** Closes the channel immediately, even after {@link #halfClose}. */
   final void closeNow() {
     closeChannel();
--- a/src/main/java/fawndock/platform/ClientConnection.java
+++ b/src/main/java/fawndock/platform/ClientConnection.java
@@ -18,8 +18,8 @@
   private static final int MAX_PENDING_RESPONSES = 64;
 
   /**
-   * Maximum number of bytes buffered from a client that does not read its responses; a connection
-   * that exceeds it is closed.
+   * Number of bytes buffered from a client that does not read its responses. Further bytes stay in
+   * the socket until it does.
    */
   private static final int MAX_BUFFERED_BYTES = 128 << 10;
 
@@ -71,12 +71,6 @@
     if (hasFailed) {
       in.skipBytes(in.readableBytes());
     }
-    // Bytes are read even while the client does not read its responses, so that a disconnect is
-    // noticed. Commands are not processed meanwhile.
-    if (unwritableSinceMicros != NEVER && in.readableBytes() > MAX_BUFFERED_BYTES) {
-      closeGracefully();
-      return;
-    }
     updateIncompleteSince(in, hasReadCommand);
     hasReadSinceRetained |= hasReadCommand;
     flushResponses();
@@ -84,12 +78,23 @@
 
   @Override
   void onRetained() {
+    updateReading();
     long bytes = isClosed() ? 0 : reader.partialCommandBytes() + retainedBytes();
     boolean hasProgressed = hasReadSinceRetained;
     hasReadSinceRetained = false;
     listener.commandMemory().update(this, bytes, hasProgressed);
   }
 
+  /**
+   * Bytes are read even while the client does not read its responses, so that a disconnect is
+   * noticed. Commands are not processed meanwhile.
+   */
+  private void updateReading() {
+    if (!isClosed()) {
+      setReading(unwritableSinceMicros == NEVER || retainedBytes() <= MAX_BUFFERED_BYTES);
+    }
+  }
+
   @Override
   public void onEvicted() {
     fail(PlatformProtocol.ERROR_NO_COMMAND_MEMORY);
@@ -225,9 +230,9 @@
   void checkTimeouts(long nowMicros) {
     boolean isFirstCommandOverdue =
         !hasSentCommand && isIdle(nowMicros, ClientListener.COMMAND_TIMEOUT_MICROS);
-    if (isFirstCommandOverdue
-        || hasElapsed(nowMicros, unwritableSinceMicros, listener.unreadResponseTimeoutMicros())
-        || isIdle(nowMicros, listener.idleTimeoutMicros())) {
+    if (hasElapsed(nowMicros, unwritableSinceMicros, listener.unreadResponseTimeoutMicros())) {
+      closeGracefully(LINGER_TIMEOUT_MICROS);
+    } else if (isFirstCommandOverdue || isIdle(nowMicros, listener.idleTimeoutMicros())) {
       closeGracefully();
     } else if (hasElapsed(
         nowMicros, incompleteSinceMicros, ClientListener.COMMAND_TIMEOUT_MICROS)) {
@@ -257,10 +262,14 @@
    * received meanwhile are discarded.
    */
   void closeGracefully() {
+    closeGracefully(listener.unreadResponseTimeoutMicros());
+  }
+
+  private void closeGracefully(long flushTimeoutMicros) {
     if (!isClosed()) {
       responses.writeAllReady();
     }
-    halfClose();
+    halfClose(flushTimeoutMicros);
     listener.onHalfClosed(this);
     onDisconnected();
   }
@@ -271,6 +280,7 @@
       unwritableSinceMicros = NEVER;
       flushResponses();
       redeliverBufferedBytes();
+      updateReading();
     }
     handlerContext.fireChannelWritabilityChanged();
   }
--- a/src/main/java/fawndock/platform/ClientListener.java
+++ b/src/main/java/fawndock/platform/ClientListener.java
@@ -12,8 +12,8 @@
 
 /**
  * Accepts client connections and limits their number, requests and memory. At the connection limit
- * it closes a half-closed connection first, then one that has never sent a command, then an idle
- * one, but never one with a request in flight. Confined to one event loop.
+ * it closes a half-closed connection first whose bytes have been sent, then one that has never sent
+ * a command, then an idle one, but never one with a request in flight. Confined to one event loop.
  */
 final class ClientListener implements AutoCloseable {
   /**
@@ -67,7 +67,8 @@
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
   /**
-   * Half-closed connections: nothing is in flight on them, but each still uses a file descriptor.
+   * Half-closed connections: no request is in flight on them, but their last bytes may be, and each
+   * still uses a file descriptor.
    */
   private final Set<ClientConnection> halfClosedConnections = new LinkedHashSet<>();
 
@@ -99,19 +100,33 @@
   }
 
   void onAccepted(ClientConnection connection) {
-    while (connections.size() + halfClosedConnections.size() >= limits.maxConnections()
-        && !halfClosedConnections.isEmpty()) {
-      ClientConnection oldest = halfClosedConnections.iterator().next();
-      halfClosedConnections.remove(oldest);
-      oldest.closeNow();
+    boolean isAtLimit = isAtConnectionLimit();
+    while (isAtLimit && closeFlushedConnection()) {
+      isAtLimit = isAtConnectionLimit();
     }
-    if (connections.size() >= limits.maxConnections() && !evictIdleConnection()) {
+    if (isAtLimit && !evictIdleConnection()) {
       connection.close();
     } else {
       connections.add(connection);
     }
   }
 
+  private boolean isAtConnectionLimit() {
+    return connections.size() + halfClosedConnections.size() >= limits.maxConnections();
+  }
+
+  /** Closes the oldest half-closed connection that owes its client no byte; false without one. */
+  private boolean closeFlushedConnection() {
+    for (ClientConnection connection : halfClosedConnections) {
+      if (connection.isOutputShutDown()) {
+        halfClosedConnections.remove(connection);
+        connection.closeNow();
+        return true;
+      }
+    }
+    return false;
+  }
+
   void onHalfClosed(ClientConnection connection) {
     if (halfClosedConnections.add(connection)) {
       connection.whenClosed(
--- a/src/test/java/fawndock/platform/ByteConnectionTest.java
+++ b/src/test/java/fawndock/platform/ByteConnectionTest.java
@@ -5,21 +5,31 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import fawndock.settings.Address;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.channels.WritableByteChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** Tests writes that fail and writes in pieces. */
 class ByteConnectionTest {
-  private static final class RecordingConnection extends ByteConnection {
+  private static class RecordingConnection extends ByteConnection {
     private boolean isDisconnected;
 
     @Override
@@ -64,6 +74,76 @@
     public void close() {}
   }
 
+  /** Holds all writes back until they are released, as for a peer that does not read. */
+  private static final class HeldWrites extends ChannelOutboundHandlerAdapter {
+    private final List<Runnable> writes = new ArrayList<>();
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+      writes.add(
+          () -> {
+            var unused = context.writeAndFlush(message, promise);
+          });
+    }
+
+    private void release() {
+      writes.forEach(Runnable::run);
+    }
+  }
+
+  /**
+   * Accepts one connection that sends some bytes and is then half-closed, although they are held
+   * back for a time; returns what the peer gets.
+   */
+  private static byte[] receiveHalfClosed(long heldMillis, int unreadBytes) throws Exception {
+    Vertx vertx = Vertx.vertx();
+    HeldWrites heldWrites = new HeldWrites();
+    try {
+      Context context = vertx.getOrCreateContext();
+      CompletableFuture<Integer> port = new CompletableFuture<>();
+      context.runOnContext(v -> listen(context, heldWrites, port));
+      try (Socket peer = new Socket("127.0.0.1", port.get(10, TimeUnit.SECONDS))) {
+        peer.getOutputStream().write(new byte[unreadBytes]);
+        Thread.sleep(heldMillis);
+        context.runOnContext(v -> heldWrites.release());
+        return peer.getInputStream().readAllBytes();
+      }
+    } finally {
+      vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+  }
+
+  private static void listen(
+      Context context, HeldWrites heldWrites, CompletableFuture<Integer> port) {
+    ChannelFuture bound =
+        new TcpTransport(context)
+            .listen(
+                new Address("127.0.0.1", 0),
+                () ->
+                    new RecordingConnection() {
+                      @Override
+                      public void channelActive(ChannelHandlerContext handlerContext) {
+                        handlerContext.pipeline().addFirst(heldWrites);
+                        var unusedSend = send(Unpooled.wrappedBuffer(new byte[] {1, 2, 3}));
+                        halfClose(4_000_000);
+                      }
+                    });
+    bound.addListener(
+        done -> port.complete(((InetSocketAddress) bound.channel().localAddress()).getPort()));
+  }
+
+  /** Guards against a close 1 s after a half-close whose bytes the peer has not read yet. */
+  @Test
+  void halfClose_waitsForThePeerToReadWhatWasWritten() throws Exception {
+    assertArrayEquals(new byte[] {1, 2, 3}, receiveHalfClosed(1_600, 0));
+  }
+
+  /** Guards against a reset by a peer's unread bytes while the last bytes were still to be sent. */
+  @Test
+  void halfClose_withManyBytesUnread_sendsWhatWasWritten() throws Exception {
+    assertArrayEquals(new byte[] {1, 2, 3}, receiveHalfClosed(300, 600_000));
+  }
+
   /** Guards against bytes that go missing in the middle of a connection that stays open. */
   @Test
   void failedWrite_closesTheConnection() {
--- a/src/test/java/fawndock/platform/ClientDisconnectTest.java
+++ b/src/test/java/fawndock/platform/ClientDisconnectTest.java
@@ -7,10 +7,15 @@
 import fawndock.fake.FakeDiscoveryServer;
 import fawndock.fake.FakeRespServer;
 import fawndock.fake.RespClient;
+import java.io.BufferedInputStream;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 
@@ -226,6 +231,59 @@
     }
   }
 
+  /**
+   * Guards against a connection that was closed, with its answers, because its client wrote more
+   * than a bound before it read.
+   */
+  @Test
+  void clientThatWritesMuchBeforeItReads_getsAllItsResponses() throws Exception {
+    String largeValue = "v".repeat(60_000);
+    FakeRespServer.CommandHandler backend =
+        (command, connection) ->
+            connection.send(FakeRespServer.backendResponse(command.get(2) + largeValue, ""));
+    try (PlatformHarness harness = new PlatformHarness(backend, FakeRespServer.counterHandler());
+        Socket client = new Socket()) {
+      client.setReceiveBufferSize(4_096);
+      client.setSoTimeout(10_000);
+      client.connect(new java.net.InetSocketAddress("127.0.0.1", harness.platform.port()));
+      List<String> ids = new ArrayList<>();
+      StringBuilder commands = new StringBuilder();
+      for (int i = 0; i < 400; i++) {
+        String[] command = harness.newRequest("look");
+        ids.add(command[2]);
+        command = Arrays.copyOf(command, command.length + 1);
+        command[command.length - 1] = "b".repeat(2_000);
+        commands.append(RespClient.encodeCommand(command));
+        if (i == 50) {
+          send(client, commands.toString());
+          commands.setLength(0);
+          Thread.sleep(500); // The responses fill the socket's buffers.
+        }
+      }
+      CompletableFuture<Void> sent =
+          CompletableFuture.runAsync(
+              () -> {
+                try {
+                  send(client, commands.toString());
+                } catch (Exception e) {
+                  throw new IllegalStateException(e);
+                }
+              });
+      Thread.sleep(500);
+      InputStream in = new BufferedInputStream(client.getInputStream(), 1 << 16);
+      for (String id : ids) {
+        String line = readLine(in);
+        if (line.startsWith("$")) {
+          byte[] value = in.readNBytes(Integer.parseInt(line.substring(1)) + 2);
+          assertTrue(new String(value, StandardCharsets.ISO_8859_1).startsWith(id));
+        } else {
+          assertTrue(line.startsWith("-"), () -> id + " got '" + line + "'");
+        }
+      }
+      sent.get();
+    }
+  }
+
   @Test
   void shutdown_respondsToAllRequestsAndClosesAllConnections() throws Exception {
     CountDownLatch releaseBackend = new CountDownLatch(1);
