Counter: commands received in part and open transactions share a bound

Cause: a connection may hold 512 KiB and 16,384 arguments of an incomplete command for 10 s, and 256 KiB of an open transaction; nothing counted them over all connections.

Change: PartialMessageMemory moves to the package memory; the counter counts input buffers, arguments and open transactions in one, an eighth of max-memory, and ends the connection with the largest product of bytes and time with an error. Empty input buffers above 16 KiB are let go.

--- a/src/main/java/fawndock/counter/ClientConnection.java
+++ b/src/main/java/fawndock/counter/ClientConnection.java
@@ -1,5 +1,6 @@
 package fawndock.counter;
 
+import fawndock.memory.PartialMessageMemory;
 import fawndock.resp.CommandReader;
 import fawndock.resp.ProtocolException;
 import fawndock.resp.ReplyWriter;
@@ -18,7 +19,8 @@
  * so are all replies after it. While too many reply bytes are pending or unread by the client, the
  * connection reads nothing more from the socket.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter
+    implements PartialMessageMemory.Holder {
   /** The connection stops reading while more reply bytes than this are pending. */
   static final int MAX_PENDING_REPLY_BYTES = 256 << 10;
 
@@ -26,6 +28,10 @@
   private static final int MAX_COMMANDS_PER_TASK = 1_024;
 
   private static final int INITIAL_BUFFER_BYTES = 256;
+
+  /** Capacity up to which an empty input buffer is kept. */
+  private static final int MAX_IDLE_BUFFER_BYTES = 16 << 10;
+
   private static final int INITIAL_REPLY_BYTES = 1_024;
 
   /** The replies to send once a commit group is durable. */
@@ -34,6 +40,7 @@
   final long id;
   private final CommandExecutor executor;
   private final CommitScheduler commitScheduler;
+  private final PartialMessageMemory inputMemory;
   private final CommandReader reader = new CommandReader(CommandReader.Limits.SERVER);
   private final ArrayDeque<PendingReplies> pendingReplies = new ArrayDeque<>();
   private ChannelHandlerContext context;
@@ -59,9 +66,14 @@
   Transaction transaction;
 
   ClientConnection(
-      CommandExecutor executor, CommitScheduler commitScheduler, long id, boolean isAuthenticated) {
+      CommandExecutor executor,
+      CommitScheduler commitScheduler,
+      PartialMessageMemory inputMemory,
+      long id,
+      boolean isAuthenticated) {
     this.executor = executor;
     this.commitScheduler = commitScheduler;
+    this.inputMemory = inputMemory;
     this.id = id;
     this.isAuthenticated = isAuthenticated;
   }
@@ -92,6 +104,8 @@
 
   private void process() {
     int commandCount = runCommands();
+    releaseLargeBuffer();
+    inputMemory.update(this, heldBytes(), commandCount > 0 && transaction == null);
     context.flush();
     commitScheduler.scheduleCommit();
     updateStalledSince(commandCount);
@@ -102,6 +116,44 @@
     closeIfNoRepliesPending();
   }
 
+  /** Replaces the buffer of a long command that has been read. */
+  private void releaseLargeBuffer() {
+    if (!inputBuffer.isReadable() && inputBuffer.capacity() > MAX_IDLE_BUFFER_BYTES) {
+      inputBuffer.release();
+      inputBuffer = context.alloc().buffer(INITIAL_BUFFER_BYTES);
+    }
+  }
+
+  /** Returns the memory of commands that have not run, in bytes; 0 if there is none. */
+  private long heldBytes() {
+    if (isClosing) {
+      return 0;
+    }
+    return reader.partialCommandBytes()
+        + (inputBuffer.isReadable() ? inputBuffer.capacity() : 0)
+        + (transaction == null ? 0 : transaction.heldBytes());
+  }
+
+  /** Ends the connection with an error after all earlier replies; commands not run are dropped. */
+  @Override
+  public void onEvicted() {
+    failAndClose("ERR no memory for the rest of the command");
+  }
+
+  private void failAndClose(String error) {
+    transaction = null;
+    reader.close();
+    inputBuffer.clear();
+    replyBuffer.clear();
+    reply.error(error);
+    ByteBuf immediateReplies = routeReply(0, null);
+    if (immediateReplies != null) {
+      write(immediateReplies);
+    }
+    isClosing = true;
+    closeIfNoRepliesPending();
+  }
+
   /**
    * Runs up to {@link #MAX_COMMANDS_PER_TASK} buffered commands and writes the replies that need
    * not wait for a commit. Returns the number of commands.
@@ -256,6 +308,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext handlerContext) {
     isClosing = true;
+    inputMemory.release(this);
     commitScheduler.removeWaitingConnection(this);
     pendingReplies.forEach(replies -> replies.bytes.release());
     pendingReplies.clear();
--- a/src/main/java/fawndock/counter/CounterServer.java
+++ b/src/main/java/fawndock/counter/CounterServer.java
@@ -6,6 +6,7 @@
 import fawndock.counter.storage.GroupCommit;
 import fawndock.counter.storage.Recovery;
 import fawndock.counter.storage.Storage;
+import fawndock.memory.PartialMessageMemory;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -46,6 +47,16 @@
   private static final long SWEEP_INTERVAL_MILLIS = 100;
   private static final long STALL_CHECK_INTERVAL_MILLIS = 500;
   private static final int ACCEPT_BACKLOG = 1_024;
+
+  /**
+   * Commands that are not whole, and transactions that are not closed, may hold the memory limit
+   * for names divided by this.
+   */
+  private static final long INPUT_MEMORY_DIVISOR = 8;
+
+  /** The same at least, so that some commands of the greatest length fit. */
+  private static final long MIN_INPUT_BYTES = 4 << 20;
+
   private static final byte[] TOO_MANY_CLIENTS_ERROR =
       "-ERR max number of clients reached\r\n".getBytes(StandardCharsets.US_ASCII);
 
@@ -62,6 +73,9 @@
   /** The channels of the connections. A closed channel is removed automatically. */
   private final ChannelGroup channels = new DefaultChannelGroup(eventLoop);
 
+  /** Commands that are not whole, and transactions that are not closed. */
+  private final PartialMessageMemory inputMemory;
+
   private WriteAheadLogThread logThread;
   private SnapshotTask snapshotTask;
   private CommitScheduler commitScheduler;
@@ -79,6 +93,10 @@
     this.settings = settings;
     this.storage = storage;
     groupCommit = new GroupCommit(settings.durability(), settings.syncIntervalMillis());
+    inputMemory =
+        new PartialMessageMemory(
+            Math.max(MIN_INPUT_BYTES, settings.maxMemoryBytes() / INPUT_MEMORY_DIVISOR),
+            () -> System.nanoTime() / 1_000);
   }
 
   /**
@@ -214,7 +232,11 @@
     }
     ClientConnection connection =
         new ClientConnection(
-            commandExecutor, commitScheduler, nextConnectionId++, settings.password().isEmpty());
+            commandExecutor,
+            commitScheduler,
+            inputMemory,
+            nextConnectionId++,
+            settings.password().isEmpty());
     channels.add(channel);
     connections.add(connection);
     stats.connections = connections.size();
--- a/src/main/java/fawndock/counter/Transaction.java
+++ b/src/main/java/fawndock/counter/Transaction.java
@@ -10,6 +10,10 @@
 final class Transaction {
   static final int MAX_COMMANDS = 1_024;
   private static final int MAX_BYTES = 256 << 10;
+
+  /** Memory of a command beside its arguments, which count with 16 bytes each. */
+  private static final int COMMAND_OVERHEAD_BYTES = 64;
+
   private final List<byte[][]> commands = new ArrayList<>();
   private int queuedBytes;
   private boolean isFailed;
@@ -32,6 +36,11 @@
     return true;
   }
 
+  /** Returns the memory of the queued commands, in bytes. */
+  int heldBytes() {
+    return commands.isEmpty() ? 0 : queuedBytes + commands.size() * COMMAND_OVERHEAD_BYTES;
+  }
+
   /** Records that a command was rejected instead of queued, so that EXEC fails. */
   void markFailed() {
     isFailed = true;
--- a/src/main/java/fawndock/platform/PartialMessageMemory.java
+++ b/src/main/java/fawndock/memory/PartialMessageMemory.java
@@ -1,4 +1,4 @@
-package fawndock.platform;
+package fawndock.memory;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -10,9 +10,9 @@
  * kind. At the limit it evicts the message with the largest space-time product: one that is long
  * and has not ended for long goes before one that is short or has just begun. Not thread-safe.
  */
-final class PartialMessageMemory {
+public final class PartialMessageMemory {
   /** A connection that has received a part of a message. */
-  interface Holder {
+  public interface Holder {
     /** Drops what has been received; it counts as released. */
     void onEvicted();
   }
@@ -37,7 +37,7 @@
    * @param maxBytes limit of all holders together
    * @param clockMicros the time in microseconds
    */
-  PartialMessageMemory(long maxBytes, LongSupplier clockMicros) {
+  public PartialMessageMemory(long maxBytes, LongSupplier clockMicros) {
     this.maxBytes = maxBytes;
     this.clockMicros = clockMicros;
   }
@@ -50,9 +50,8 @@
    * @param hasProgressed whether an earlier message has ended since the last call, so that this one
    *     has just begun
    */
-  void update(Holder holder, long bytes, boolean hasProgressed) {
-    Holding former = holdings.get(holder);
-    release(holder);
+  public void update(Holder holder, long bytes, boolean hasProgressed) {
+    Holding former = removeHolding(holder);
     if (bytes > 0) {
       long sinceMicros =
           former == null || hasProgressed ? clockMicros.getAsLong() : former.sinceMicros;
@@ -65,11 +64,16 @@
   }
 
   /** Forgets a holder that holds nothing any more. */
-  void release(Holder holder) {
+  public void release(Holder holder) {
+    removeHolding(holder);
+  }
+
+  private Holding removeHolding(Holder holder) {
     Holding former = holdings.remove(holder);
     if (former != null) {
       heldBytes -= former.bytes;
     }
+    return former;
   }
 
   private void evictLargest() {
@@ -87,7 +91,8 @@
     evicted.onEvicted();
   }
 
-  long heldBytes() {
+  /** Returns what all holders hold, in bytes. */
+  public long heldBytes() {
     return heldBytes;
   }
 }
--- a/src/main/java/fawndock/platform/BackendConnectionPools.java
+++ b/src/main/java/fawndock/platform/BackendConnectionPools.java
@@ -1,5 +1,6 @@
 package fawndock.platform;
 
+import fawndock.memory.PartialMessageMemory;
 import fawndock.settings.Address;
 import java.util.ArrayDeque;
 import java.util.HashMap;
--- a/src/main/java/fawndock/platform/ClientConnection.java
+++ b/src/main/java/fawndock/platform/ClientConnection.java
@@ -1,5 +1,6 @@
 package fawndock.platform;
 
+import fawndock.memory.PartialMessageMemory;
 import fawndock.resp.CommandReader;
 import fawndock.resp.ProtocolException;
 import fawndock.resp.ReplyWriter;
--- a/src/main/java/fawndock/platform/ClientListener.java
+++ b/src/main/java/fawndock/platform/ClientListener.java
@@ -1,5 +1,6 @@
 package fawndock.platform;
 
+import fawndock.memory.PartialMessageMemory;
 import fawndock.runtime.PolicyRunner;
 import fawndock.runtime.Timers;
 import fawndock.settings.Address;
--- a/src/main/java/fawndock/platform/PooledConnection.java
+++ b/src/main/java/fawndock/platform/PooledConnection.java
@@ -1,5 +1,6 @@
 package fawndock.platform;
 
+import fawndock.memory.PartialMessageMemory;
 import fawndock.resp.Reply;
 import fawndock.resp.ReplyReader;
 import io.netty.buffer.ByteBuf;
--- a/src/test/java/fawndock/counter/CounterLimitsTest.java
+++ b/src/test/java/fawndock/counter/CounterLimitsTest.java
@@ -16,6 +16,8 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import redis.clients.jedis.Jedis;
 import redis.clients.jedis.Transaction;
 import redis.clients.jedis.exceptions.JedisDataException;
@@ -184,6 +186,43 @@
     }
   }
 
+  static List<String> partialCommands() {
+    return List.of(
+        "*16384\r\n" + "$0\r\n\r\n".repeat(16_383),
+        "*3\r\n$3\r\nSET\r\n$400000\r\n" + "x".repeat(400_000) + "\r\n$",
+        "MULTI\r\n" + ("SET a " + "x".repeat(1_000) + "\r\n").repeat(200));
+  }
+
+  /** Guards against commands that are not whole, and open transactions, which filled the heap. */
+  @ParameterizedTest
+  @MethodSource("partialCommands")
+  void partialCommands_beyondTheirMemory_endTheOldestConnectionsAndNoOthers(String partialCommand)
+      throws IOException {
+    restart("", 4_000);
+    List<Socket> sockets = new ArrayList<>();
+    try (Jedis client = client()) {
+      for (int i = 1; i <= 40; i++) {
+        sockets.add(new Socket("127.0.0.1", port));
+        sockets
+            .get(i - 1)
+            .getOutputStream()
+            .write(partialCommand.getBytes(StandardCharsets.US_ASCII));
+        assertEquals(i, client.incrBy("n", 1));
+      }
+      BufferedReader replies = reader(sockets.get(0));
+      String line = replies.readLine();
+      while (line.startsWith("+")) {
+        line = replies.readLine();
+      }
+      assertEquals("-ERR no memory for the rest of the command", line);
+      assertNull(replies.readLine());
+    } finally {
+      for (Socket socket : sockets) {
+        socket.close();
+      }
+    }
+  }
+
   /** A transaction that does not fit into the open commit group is not started. */
   @Test
   void transaction_largerThanSpaceInOpenGroup_isRejectedEntirely() throws Exception {
--- a/src/test/java/fawndock/platform/PartialMessageMemoryTest.java
+++ b/src/test/java/fawndock/memory/PartialMessageMemoryTest.java
@@ -1,4 +1,4 @@
-package fawndock.platform;
+package fawndock.memory;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
