HTTP and gRPC: requests received in part, and bodies in flight, have a bound

Cause: a body is collected before its request is decided, a gRPC message is held by the library, each up to 64 KiB, and nothing counted them over all requests. Evidence: heap 96 MB, text before: 1,500 connections that stop within a body, 50 with 60 HTTP/2 requests, 50 with 60 gRPC calls: out of memory, three of three.

Change: RequestMemory bounds bodies received in part and those in flight, each by a 16th of the heap: 503 for the largest product of bytes and time, or for what does not fit. IncompleteCalls resets the oldest calls beyond a 16th of the heap.

Measured: PartialRequestsTest before: 2 of 2 failed; after: 2 of 2. Gateway, gRPC and architecture tests 74 of 74.

--- a/src/main/java/fawndock/gateway/RequestBodyCollector.java
+++ b/src/main/java/fawndock/gateway/RequestBodyCollector.java
@@ -1,5 +1,6 @@
 package fawndock.gateway;
 
+import fawndock.memory.PartialMessageMemory;
 import fawndock.runtime.MicroClock;
 import fawndock.runtime.Timers;
 import io.vertx.core.buffer.Buffer;
@@ -13,30 +14,45 @@
  * deadline. It calls at most one of its callbacks: completion, a problem, or neither if the client
  * disconnects. The collector is confined to one event-loop context.
  */
-final class RequestBodyCollector {
+final class RequestBodyCollector implements PartialMessageMemory.Holder {
+  /** Problem type of a body that was dropped because the memory for bodies is exhausted. */
+  static final String NO_MEMORY = "memory";
+
   private static final Pattern CONTENT_LENGTH = Pattern.compile("[0-9]{1,18}");
 
   private final HttpServerRequest request;
-  private final Buffer body;
+
+  /** Null once the collector has ended, since the client may keep its request open for long. */
+  private Buffer body;
+
   private final int maxBytes;
+  private final PartialMessageMemory memory;
   private final Consumer<ProblemDetails> onProblem;
-  private final Runnable onComplete;
+
+  /** Null once the collector has ended, as it refers to the body. */
+  private Runnable onComplete;
+
+  private Timers timers;
+  private Timers.Timer timeout;
   private boolean isEnded;
 
   /**
    * Creates a collector that {@link #start} starts.
    *
    * @param body buffer that the chunks are appended to
+   * @param memory memory of all bodies that have arrived in part
    */
   RequestBodyCollector(
       HttpServerRequest request,
       Buffer body,
       int maxBytes,
+      PartialMessageMemory memory,
       Consumer<ProblemDetails> onProblem,
       Runnable onComplete) {
     this.request = request;
     this.body = body;
     this.maxBytes = maxBytes;
+    this.memory = memory;
     this.onProblem = onProblem;
     this.onComplete = onComplete;
   }
@@ -58,33 +74,40 @@
       onComplete.run(); // The request has no body (RFC 9112, section 6.3).
       return;
     }
-    Timers.Timer timeout =
+    this.timers = timers;
+    timeout =
         timers.schedule(
             deadlineAtMicros - clock.nowMicros(), () -> end(() -> onProblem.accept(bodyTimeout())));
-    request.exceptionHandler(
-        e -> {
-          isEnded = true;
-          timers.cancel(timeout);
-        });
-    request.handler(
-        chunk -> {
-          body.appendBuffer(chunk);
-          if (!isEnded && body.length() > maxBytes) {
-            timers.cancel(timeout);
-            end(() -> onProblem.accept(tooLarge()));
-          }
-        });
-    request.endHandler(
-        v -> {
-          timers.cancel(timeout);
-          end(onComplete);
-        });
+    request.exceptionHandler(e -> end(() -> {}));
+    request.handler(this::onChunk);
+    request.endHandler(v -> end(onComplete));
+  }
+
+  private void onChunk(Buffer chunk) {
+    if (isEnded) {
+      return;
+    }
+    body.appendBuffer(chunk);
+    if (body.length() > maxBytes) {
+      end(() -> onProblem.accept(tooLarge()));
+    } else {
+      memory.update(this, body.length(), false);
+    }
+  }
+
+  @Override
+  public void onEvicted() {
+    end(() -> onProblem.accept(noMemory()));
   }
 
   /** Calls the callback unless the collector has already ended. */
   private void end(Runnable callback) {
     if (!isEnded) {
       isEnded = true;
+      timers.cancel(timeout);
+      memory.release(this);
+      body = null;
+      onComplete = null;
       callback.run();
     }
   }
@@ -93,6 +116,11 @@
     return new ProblemDetails(408, "slow", "Body came too late", "The time given ran out.");
   }
 
+  private static ProblemDetails noMemory() {
+    return new ProblemDetails(
+        503, NO_MEMORY, "No memory for the body", "Trying again is harmless.");
+  }
+
   private ProblemDetails tooLarge() {
     return new ProblemDetails(
         413, "size", "Body too large", "At most " + maxBytes + " bytes are taken.");
--- a/src/main/java/fawndock/gateway/RequestHandler.java
+++ b/src/main/java/fawndock/gateway/RequestHandler.java
@@ -17,6 +17,7 @@
   private final PolicyRunner policyRunner;
   private final AccessLog accessLog;
   private final RequestReader reader;
+  private final RequestMemory requestMemory;
   private final Map<String, Plan> plans = new HashMap<>();
 
   RequestHandler(GatewaySettings settings, PolicyRunner policyRunner, AccessLog accessLog) {
@@ -24,6 +25,9 @@
     this.policyRunner = policyRunner;
     this.accessLog = accessLog;
     this.reader = new RequestReader(settings);
+    this.requestMemory =
+        new RequestMemory(
+            RequestMemory.limitBytes(settings.instances()), policyRunner.clock()::nowMicros);
     settings.plans().forEach(plan -> plans.put(plan.name(), plan));
   }
 
@@ -32,9 +36,23 @@
    * policy runner has assigned it.
    */
   private final class DisconnectHandler {
+    private final int bodyBytes;
     private long requestId = -1;
+    private boolean isReleased;
+
+    DisconnectHandler(int bodyBytes) {
+      this.bodyBytes = bodyBytes;
+    }
+
+    void onEnded() {
+      if (!isReleased) {
+        isReleased = true;
+        requestMemory.release(bodyBytes);
+      }
+    }
 
     void onDisconnected() {
+      onEnded();
       policyRunner.onClientDisconnected(requestId);
     }
   }
@@ -48,6 +66,7 @@
               request,
               head.forwarded().body(),
               settings.http().maxRequestBodyBytes(),
+              requestMemory.partialBodies(),
               problem -> respond(request, problem),
               () -> accept(request, head))
           .start(head.attributes().deadlineAtMicros(), policyRunner.clock(), policyRunner.timers());
@@ -57,16 +76,19 @@
   }
 
   private void accept(HttpServerRequest request, RequestReader.RequestHead head) {
-    if (policyRunner.openRequestCount() >= settings.limits().maxInFlight()) {
+    int bodyBytes = head.forwarded().body().length();
+    if (policyRunner.openRequestCount() >= settings.limits().maxInFlight()
+        || !requestMemory.tryAcquire(bodyBytes)) {
       request.response().putHeader("retry-after", "1");
       respond(
           request,
           new ProblemDetails(503, "open", "Too many open requests", "Trying again is harmless."));
       return;
     }
-    DisconnectHandler disconnectHandler = new DisconnectHandler();
+    DisconnectHandler disconnectHandler = new DisconnectHandler(bodyBytes);
     // The handlers are set before the policy runs because the policy may respond immediately, and
     // the client may have disconnected by then.
+    request.response().endHandler(ended -> disconnectHandler.onEnded());
     request.response().closeHandler(closed -> disconnectHandler.onDisconnected());
     request.response().exceptionHandler(e -> disconnectHandler.onDisconnected());
     request.exceptionHandler(e -> disconnectHandler.onDisconnected());
@@ -79,7 +101,9 @@
   private void respond(HttpServerRequest request, ProblemDetails problem) {
     String label = request.getHeader("x-request-id");
     accessLog.onLocalResponse(label == null ? "" : label, problem.status(), problem.type());
-    if (problem.status() == 413 || problem.status() == 408) {
+    if (problem.status() == 413
+        || problem.status() == 408
+        || problem.type().equals(RequestBodyCollector.NO_MEMORY)) {
       request.response().putHeader("connection", "close");
     }
     problem.respond(request);
--- a/src/main/java/fawndock/ratelimit/RateLimitService.java
+++ b/src/main/java/fawndock/ratelimit/RateLimitService.java
@@ -14,6 +14,7 @@
 import io.vertx.core.VerticleBase;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
 import io.vertx.grpc.common.GrpcMessageDecoder;
 import io.vertx.grpc.common.GrpcMessageEncoder;
 import io.vertx.grpc.common.GrpcStatus;
@@ -46,14 +47,24 @@
   private static final Logger LOG = LoggerFactory.getLogger(RateLimitService.class);
   private static final long MAX_MESSAGE_BYTES = 64 << 10;
   private static final int MAX_DESCRIPTORS = 64;
+
+  /** Calls whose message is not whole may hold the heap's limit divided by this. */
+  private static final long INCOMPLETE_CALL_HEAP_DIVISOR = 16;
+
   private static final long DEFAULT_TIMEOUT_MILLIS = 1_000;
   private final GatewaySettings settings;
   private final Function<PolicyConfig, GatewayPolicy> policyFactory;
   private final DescriptorMatcher descriptorMatcher;
   private final Map<String, Plan> plans = new HashMap<>();
+  private final IncompleteCalls incompleteCalls =
+      new IncompleteCalls(
+          Runtime.getRuntime().maxMemory() / INCOMPLETE_CALL_HEAP_DIVISOR, MAX_MESSAGE_BYTES);
   private QuotaService quotaService;
   private HttpServer server;
 
+  /** The request that the gRPC server is handling. */
+  private HttpServerRequest handledRequest;
+
   /**
    * Creates a service that is not started yet.
    *
@@ -73,13 +84,16 @@
         new QuotaService(vertx, context, settings, settings.firstInstance(), policyFactory);
     GrpcServer grpcServer =
         GrpcServer.server(vertx, new GrpcServerOptions().setMaxMessageSize(MAX_MESSAGE_BYTES));
-    grpcServer.callHandler(
-        SHOULD_RATE_LIMIT, call -> call.handler(request -> shouldRateLimit(call, request)));
+    grpcServer.callHandler(SHOULD_RATE_LIMIT, this::onCall);
     server =
         vertx
             .createHttpServer(
                 new HttpServerOptions().setHttp2ClearTextEnabled(true).setTcpNoDelay(true))
-            .requestHandler(grpcServer);
+            .requestHandler(
+                request -> {
+                  handledRequest = request;
+                  grpcServer.handle(request);
+                });
     Address listenAddress = settings.rateLimit().listen();
     return server
         .listen(listenAddress.port(), listenAddress.host())
@@ -102,6 +116,18 @@
     return server.close();
   }
 
+  /** Called within the handling of its request, when the call's head has arrived. */
+  private void onCall(GrpcServerRequest<RateLimitRequest, RateLimitResponse> call) {
+    IncompleteCalls.IncompleteCall incompleteCall = incompleteCalls.begin(handledRequest);
+    call.exceptionHandler(e -> incompleteCall.end());
+    call.endHandler(v -> incompleteCall.end());
+    call.handler(
+        request -> {
+          incompleteCall.end();
+          shouldRateLimit(call, request);
+        });
+  }
+
   private void shouldRateLimit(
       GrpcServerRequest<RateLimitRequest, RateLimitResponse> call, RateLimitRequest request) {
     List<QuotaRequest> quotaRequests;
