--- a/src/main/java/fawndock/platform/ClientListener.java
+++ b/src/main/java/fawndock/platform/ClientListener.java
@@ -1,7 +1,9 @@
 package fawndock.platform;
 
 import fawndock.memory.PartialMessageMemory;
+import fawndock.policy.config.Idempotency;
 import fawndock.runtime.PolicyRunner;
+import fawndock.runtime.ServerExchange.RequestAttributes;
 import fawndock.runtime.Timers;
 import fawndock.settings.Address;
 import io.netty.channel.Channel;
@@ -74,6 +76,7 @@
   private final Set<ClientConnection> halfClosedConnections = new LinkedHashSet<>();
 
   private final Set<String> inFlightIds = new HashSet<>();
+  private final UnansweredRequests unansweredRequests;
   private Channel serverChannel;
   private long inFlightBytes;
   private boolean isDraining;
@@ -88,6 +91,7 @@
     this.parser = parser;
     this.limits = limits;
     this.responseMemory = new ResponseMemory(limits.maxResponseBytes());
+    this.unansweredRequests = new UnansweredRequests(runner.clock()::nowMicros);
     this.commandMemory =
         new PartialMessageMemory(limits.maxPartialCommandBytes(), runner.clock()::nowMicros);
   }
@@ -158,6 +162,7 @@
   private void checkTimeouts() {
     long nowMicros = nowMicros();
     List.copyOf(connections).forEach(connection -> connection.checkTimeouts(nowMicros));
+    unansweredRequests.removeExpired();
     checkTimer = runner.timers().schedule(CHECK_INTERVAL_MICROS, this::checkTimeouts);
   }
 
@@ -189,7 +194,7 @@
    * @param isQueued whether the response has to wait for an earlier one of the connection
    */
   String admissionError(ClientCommand command, boolean isQueued) {
-    if (inFlightIds.contains(command.id())) {
+    if (inFlightIds.contains(command.id()) || unansweredRequests.contains(command.id())) {
       return PlatformProtocol.ERROR_DUPLICATE_ID;
     }
     boolean isOverLimit =
@@ -208,11 +213,18 @@
 
   /**
    * Releases the id and memory of a request that has its response or whose client has disconnected.
+   * In the latter case the id is refused for as long as the client would have waited, if the
+   * request may have run and must not run again.
    */
   void release(ClientExchange exchange) {
     if (inFlightIds.remove(exchange.command().id())) {
       inFlightBytes -= exchange.command().sizeBytes();
     }
+    RequestAttributes attributes = exchange.requestAttributes();
+    if (exchange.mayHaveRunUnanswered()
+        && attributes.requestClass().idempotency() != Idempotency.IDEMPOTENT) {
+      unansweredRequests.add(exchange.command().id(), attributes.deadlineAtMicros());
+    }
   }
 
   void onClientDisconnected(long requestId) {
--- a/src/main/java/fawndock/platform/ResponseQueue.java
+++ b/src/main/java/fawndock/platform/ResponseQueue.java
@@ -277,6 +277,7 @@
     for (Slot slot : removed) {
       memory.release(slot.valueBytes);
       if (slot.isInFlight()) {
+        slot.exchange.abandon();
         slot.releaseRequest();
         onAbandoned.accept(slot.requestId);
       }
--- a/src/test/java/fawndock/platform/ClientDisconnectTest.java
+++ b/src/test/java/fawndock/platform/ClientDisconnectTest.java
@@ -267,6 +267,33 @@
     }
   }
 
+  /** Guards against a request that ran twice when its id came again after its client had left. */
+  @Test
+  void idOfRequestThatMayHaveRunUnanswered_isRefusedUntilItsDeadline() throws Exception {
+    CountDownLatch releaseBackend = new CountDownLatch(1);
+    FakeRespServer.CommandHandler backend =
+        (command, connection) -> {
+          releaseBackend.await();
+          FakeRespServer.backendHandler().onCommand(command, connection);
+        };
+    try (PlatformHarness harness = new PlatformHarness(backend, FakeRespServer.counterHandler());
+        RespClient otherClient = harness.connectClient()) {
+      String[] command = harness.newRequest("pay");
+      String[] idempotentCommand = harness.newRequest("look");
+      RespClient leavingClient = harness.connectClient();
+      leavingClient.send(
+          RespClient.encodeCommand(command) + RespClient.encodeCommand(idempotentCommand));
+      Await.until(() -> harness.platform.backend.commandCount() == 2);
+      leavingClient.close();
+      Await.until(() -> harness.process.gateway().runner().openRequestCount() == 0);
+      assertEquals("-ERR the id is open already", otherClient.call(command));
+      assertEquals(2, harness.platform.backend.commandCount());
+      releaseBackend.countDown();
+      assertEquals("value of " + idempotentCommand[2], otherClient.call(idempotentCommand));
+      Await.until(() -> otherClient.call(command).equals("value of " + command[2]));
+    }
+  }
+
   /**
    * Guards against a connection that was closed, with its answers, because its client wrote more
    * than a bound before it read.
