An accepted connection is read twice in a turn at most

Cause: a turn of the event loop read a connection up to 16 times, a MiB of commands, and a usual request needs several turns.

Change: two reads a turn.

--- a/src/main/java/fawndock/platform/BackendAttempt.java
+++ b/src/main/java/fawndock/platform/BackendAttempt.java
@@ -19,7 +19,7 @@
   private static final int MAX_RECONNECTS = 3;
 
   /** Time that an attempt waits for a client that sends more than can be received at once. */
-  private static final long MAX_INPUT_WAIT_MICROS = 200_000;
+  private static final long MAX_INPUT_WAIT_MICROS = 400_000;
 
   private final BackendConnectionPools pools;
   private final ClientExchange exchange;
--- a/src/main/java/fawndock/platform/TcpTransport.java
+++ b/src/main/java/fawndock/platform/TcpTransport.java
@@ -3,6 +3,7 @@
 import fawndock.settings.Address;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
@@ -26,6 +27,12 @@
 class TcpTransport {
   private static final int ACCEPT_BACKLOG = 1_024;
 
+  /**
+   * Reads of an accepted connection in one turn of the event loop. A client that sends at full
+   * speed then holds up others for the commands of two buffers.
+   */
+  private static final int MAX_READS_PER_TURN = 2;
+
   /** The event loop that all connections run on. */
   protected final EventLoop eventLoop;
 
@@ -81,6 +88,9 @@
         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(
+            ChannelOption.RCVBUF_ALLOCATOR,
+            new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(MAX_READS_PER_TURN))
         .childOption(ChannelOption.MESSAGE_SIZE_ESTIMATOR, OutboundBytes.SIZE_ESTIMATOR)
         .childHandler(
             new ChannelInitializer<Channel>() {
